--- /dev/null
+++ b/eslint.config.mjs
@@ -0,0 +1,58 @@
+import { configs, plugins } from 'eslint-config-airbnb-extended';
+import prettier from 'eslint-config-prettier';
+
+export default [
+  { ignores: ['dist/**', 'node_modules/**', 'out/**'] },
+  plugins.stylistic,
+  plugins.importX,
+  plugins.node,
+  plugins.typescriptEslint,
+  ...configs.base.recommended,
+  ...configs.base.typescript,
+  ...configs.node.recommended,
+  prettier,
+  {
+    files: ['**/*.ts'],
+    rules: {
+      // NodeNext resolution needs the .js extension in import specifiers; tsc checks resolution.
+      'import-x/extensions': 'off',
+      'import-x/no-unresolved': 'off',
+      'import-x/no-named-as-default-member': 'off',
+      'import-x/no-useless-path-segments': 'off',
+      // Named exports only: a file has one main class, and its name is the same everywhere.
+      'import-x/prefer-default-export': 'off',
+      'import-x/no-extraneous-dependencies': 'off',
+      // Classes hold behaviour behind interfaces (layout model); some methods need no state.
+      'class-methods-use-this': 'off',
+      // Sequential awaits and retry loops are the core of the product.
+      'no-await-in-loop': 'off',
+      'no-continue': 'off',
+      'no-restricted-syntax': [
+        'error',
+        { selector: 'ForInStatement', message: 'Use Object.entries with for...of.' },
+        { selector: 'WithStatement', message: 'with is not allowed.' },
+      ],
+      'no-plusplus': ['error', { allowForLoopAfterthoughts: true }],
+      'no-console': 'error',
+      'n/no-process-exit': 'off',
+      'n/no-unsupported-features/node-builtins': 'off',
+      'no-use-before-define': 'off',
+      '@typescript-eslint/no-use-before-define': ['error', { functions: false, classes: false, variables: false, typedefs: false }],
+      '@typescript-eslint/no-floating-promises': 'error',
+      '@typescript-eslint/no-explicit-any': 'error',
+      // A schema and the type inferred from it share one name.
+      '@typescript-eslint/no-redeclare': 'off',
+      'no-redeclare': 'off',
+      // Only where it does not make a one-line return longer.
+      '@typescript-eslint/prefer-destructuring': 'off',
+      'prefer-destructuring': 'off',
+      'max-classes-per-file': ['error', 1],
+      'max-lines': ['error', { max: 400 }],
+    },
+    languageOptions: { parserOptions: { projectService: true } },
+  },
+  {
+    files: ['**/*.test.ts'],
+    rules: { '@typescript-eslint/no-floating-promises': 'off', 'max-lines': 'off' },
+  },
+];
--- /dev/null
+++ b/scripts/run-tests.mjs
@@ -0,0 +1,61 @@
+// Runs all compiled tests with node:test. Failures listed in KNOWN-RED.txt are printed and passed over.
+import { existsSync, readFileSync, readdirSync } from 'node:fs';
+import { join } from 'node:path';
+import { run } from 'node:test';
+
+const TEST_FILE_CONCURRENCY = 4;
+const TEST_TIMEOUT_MS = 180_000;
+const KNOWN_RED_FILE = 'KNOWN-RED.txt';
+
+const testFiles = (directory) =>
+  readdirSync(directory, { withFileTypes: true }).flatMap((entry) => {
+    const path = join(directory, entry.name);
+    if (entry.isDirectory()) return testFiles(path);
+    return entry.name.endsWith('.test.js') ? [path] : [];
+  });
+
+/** Names after "test:" at the start of a line of KNOWN-RED.txt. */
+const knownRed = () => {
+  if (!existsSync(KNOWN_RED_FILE)) return new Set();
+  const lines = readFileSync(KNOWN_RED_FILE, 'utf8').split('\n');
+  return new Set(
+    lines.filter((line) => line.startsWith('test:')).map((line) => line.slice(5).trim()),
+  );
+};
+
+const filter = process.argv[2] ?? '';
+const files = testFiles('dist').filter((file) => file.includes(filter));
+const known = knownRed();
+let passed = 0;
+const failures = [];
+
+const stream = run({ files, concurrency: TEST_FILE_CONCURRENCY, timeout: TEST_TIMEOUT_MS });
+stream.on('test:pass', (event) => {
+  if (event.details.type !== 'suite') passed += 1;
+});
+stream.on('test:fail', (event) => {
+  const cause = event.details.error?.cause ?? event.details.error;
+  // A suite or a file that fails only because a test in it failed is not a failure of its own.
+  if (event.details.error?.failureType === 'subtestsFailed') return;
+  failures.push({ name: event.name, file: event.file ?? '', cause });
+});
+stream.on('test:stderr', (event) => {
+  if (process.env.VERBOSE_TESTS) process.stderr.write(event.message);
+});
+stream.resume();
+await new Promise((resolve) => {
+  stream.on('end', resolve);
+});
+
+const unexpected = failures.filter((failure) => !known.has(failure.name));
+for (const failure of failures) {
+  const label = known.has(failure.name) ? 'KNOWN RED' : 'FAILED';
+  process.stdout.write(`${label}: ${failure.name} (${failure.file})\n`);
+  if (label === 'FAILED') process.stdout.write(`${failure.cause?.stack ?? failure.cause}\n`);
+}
+const repaired = [...known].filter((name) => !failures.some((failure) => failure.name === name));
+for (const name of repaired) process.stdout.write(`KNOWN RED passed this time: ${name}\n`);
+process.stdout.write(
+  `${passed} passed, ${unexpected.length} failed, ${failures.length - unexpected.length} skipped\n`,
+);
+process.exitCode = unexpected.length > 0 || passed === 0 ? 1 : 0;
--- /dev/null
+++ b/src/common/protocol/Ledger.ts
@@ -0,0 +1,39 @@
+/** Ledger rows: cumulative usage per client account, template, stage and class. */
+import { z } from 'zod';
+import { Usage, UsageClass } from './Usage.js';
+
+export const LEDGER_TABLE = 'ledger';
+
+/** One cumulative counter. `agentId` and `agentIncarnation` name who did the work. */
+export const LedgerEntry = z.object({
+  agentId: z.string(),
+  agentIncarnation: z.string(),
+  /** Calendar month, `YYYY-MM`, UTC. */
+  month: z.string().regex(/^\d{4}-\d{2}$/),
+  account: z.string(),
+  template: z.string(),
+  stage: z.string(),
+  class: UsageClass,
+  usage: Usage,
+  attempts: z.number().int().nonnegative(),
+});
+export type LedgerEntry = z.infer<typeof LedgerEntry>;
+
+/** Whole row of one writer. Writing it again is harmless; a lower sequence number never replaces a higher. */
+export const LedgerRow = z.object({
+  writer: z.enum(['agent', 'entry']),
+  writerId: z.string(),
+  incarnation: z.string(),
+  sequence: z.number().int().nonnegative(),
+  entries: z.array(LedgerEntry),
+});
+export type LedgerRow = z.infer<typeof LedgerRow>;
+
+/**
+ * Key of a ledger row.
+ * @param row - writer, its id and incarnation
+ * @returns row key
+ */
+export function ledgerKey(row: Pick<LedgerRow, 'writer' | 'writerId' | 'incarnation'>): string {
+  return `${row.writer}/${encodeURIComponent(row.writerId)}/${row.incarnation}`;
+}
--- /dev/null
+++ b/src/common/protocol/Membership.ts
@@ -0,0 +1,20 @@
+/** The platform's list of instances. It lags behind the truth. */
+import { z } from 'zod';
+
+/** One process of the system, as the platform lists it. */
+export const Instance = z.object({
+  id: z.string().min(1),
+  role: z.enum(['entry', 'agent']),
+  /** `ip:port` of the process's HTTP server. */
+  address: z.string().min(1),
+  failureDomain: z.string().min(1),
+  region: z.string().default('default'),
+  /** Pool of the backend server, for agents. */
+  pool: z.string().optional(),
+  state: z.enum(['live', 'leaving']),
+});
+export type Instance = z.infer<typeof Instance>;
+
+/** Answer of `GET /v1/instances`. */
+export const InstanceList = z.object({ instances: z.array(Instance) });
+export type InstanceList = z.infer<typeof InstanceList>;
--- /dev/null
+++ b/src/common/protocol/Usage.ts
@@ -0,0 +1,38 @@
+/** Usage of a backend server by one attempt, the unit of cost reports. */
+import { z } from 'zod';
+
+/** Counted resources. `acceleratorMs` is busy time of one accelerator slot in milliseconds. */
+export const Usage = z.object({
+  acceleratorMs: z.number().nonnegative(),
+  tokensIn: z.number().int().nonnegative(),
+  tokensOut: z.number().int().nonnegative(),
+  calls: z.number().int().nonnegative(),
+});
+export type Usage = z.infer<typeof Usage>;
+
+/** Whether the work reached a caller (`useful`) or was cancelled, hedged in vain or failed (`overhead`). */
+export const UsageClass = z.enum(['useful', 'overhead']);
+export type UsageClass = z.infer<typeof UsageClass>;
+
+/** Usage of nothing; the neutral element of {@link addUsage}. */
+export const NO_USAGE: Usage = Object.freeze({
+  acceleratorMs: 0,
+  tokensIn: 0,
+  tokensOut: 0,
+  calls: 0,
+});
+
+/**
+ * Adds two usages field by field.
+ * @param left - first addend
+ * @param right - second addend
+ * @returns a new usage
+ */
+export function addUsage(left: Usage, right: Usage): Usage {
+  return {
+    acceleratorMs: left.acceleratorMs + right.acceleratorMs,
+    tokensIn: left.tokensIn + right.tokensIn,
+    tokensOut: left.tokensOut + right.tokensOut,
+    calls: left.calls + right.calls,
+  };
+}
--- /dev/null
+++ b/src/telemetry/Logger.ts
@@ -0,0 +1,51 @@
+/** Structured JSON logs through consola. */
+import { createConsola, type ConsolaInstance } from 'consola';
+
+/** Log levels by name. */
+const LEVELS = { error: 0, warn: 1, info: 3, debug: 4 } as const;
+
+/** Name of a log level. */
+export type LogLevel = keyof typeof LEVELS;
+
+/** Fields whose values are never written. */
+const SECRET_FIELD = /token|secret|authorization|password/i;
+
+/** Logger with fields, such as request id and account. */
+export type Logger = ConsolaInstance;
+
+/**
+ * Makes a logger that writes one JSON object a line to standard error.
+ * @param processName - value of the field `process`
+ * @param level - lowest level written
+ * @returns a consola instance; call it with a message and an object of fields
+ */
+export function createLogger(processName: string, level: LogLevel = 'info'): Logger {
+  return createConsola({
+    level: LEVELS[level],
+    reporters: [
+      {
+        log: (entry) => {
+          const fields = Object.assign({}, ...entry.args.filter(isFields));
+          const message = entry.args.filter((part) => !isFields(part)).join(' ');
+          const line = {
+            time: entry.date.toISOString(),
+            level: entry.type,
+            process: processName,
+            message,
+            ...fields,
+          };
+          process.stderr.write(`${JSON.stringify(line, redact)}\n`);
+        },
+      },
+    ],
+  });
+}
+
+function isFields(part: unknown): part is Record<string, unknown> {
+  return typeof part === 'object' && part !== null;
+}
+
+function redact(field: string, value: unknown): unknown {
+  if (value instanceof Error) return value.message;
+  return SECRET_FIELD.test(field) && typeof value === 'string' ? '[redacted]' : value;
+}
--- /dev/null
+++ b/src/telemetry/Tracing.ts
@@ -0,0 +1,127 @@
+/** OpenTelemetry traces with one span per hop. */
+import { appendFile } from 'node:fs/promises';
+import { context, type Context, type Tracer } from '@opentelemetry/api';
+import {
+  ExportResultCode,
+  W3CTraceContextPropagator,
+  type ExportResult,
+} from '@opentelemetry/core';
+import { OTLPTraceExporter } from '@opentelemetry/exporter-trace-otlp-http';
+import { resourceFromAttributes } from '@opentelemetry/resources';
+import {
+  BasicTracerProvider,
+  BatchSpanProcessor,
+  ParentBasedSampler,
+  TraceIdRatioBasedSampler,
+  type ReadableSpan,
+  type SpanExporter,
+} from '@opentelemetry/sdk-trace-base';
+import type { TracingSettings } from '../settings/CommonSettings.js';
+
+const FLUSH_DELAY_MS = 500;
+const NANOSECONDS_PER_MS = 1e6;
+const MS_PER_SECOND = 1000;
+
+/** Names of the spans of one request, in the order of the path. */
+export const HOPS = ['entry', 'route', 'queue', 'claim', 'backend', 'relay'] as const;
+
+/** Tracing of one process. */
+export interface Tracing {
+  readonly tracer: Tracer;
+  /** @returns W3C `traceparent` of the context, or undefined if it has no span. */
+  traceparentOf(spanContext: Context): string | undefined;
+  /** @returns context whose parent is the given W3C `traceparent`. */
+  contextOf(traceparent: string | undefined): Context;
+  /** Writes out finished spans and stops. */
+  shutdown(): Promise<void>;
+}
+
+/** Span as written to a trace file, one JSON object a line. */
+export interface SpanRecord {
+  readonly traceId: string;
+  readonly spanId: string;
+  readonly parentSpanId: string | null;
+  readonly name: string;
+  readonly process: string;
+  readonly startMs: number;
+  readonly durationMs: number;
+  readonly attributes: Record<string, unknown>;
+}
+
+/**
+ * Starts tracing.
+ * @param processName - value of the resource attribute `service.instance.id`
+ * @param settings - exporters and sampling
+ * @returns tracing of this process
+ */
+export function createTracing(processName: string, settings: TracingSettings): Tracing {
+  const provider = new BasicTracerProvider({
+    resource: resourceFromAttributes({
+      'service.name': 'citronstage',
+      'service.instance.id': processName,
+    }),
+    sampler: new ParentBasedSampler({ root: new TraceIdRatioBasedSampler(settings.sampleRatio) }),
+    spanProcessors: createExporters(processName, settings).map(
+      (exporter) => new BatchSpanProcessor(exporter, { scheduledDelayMillis: FLUSH_DELAY_MS }),
+    ),
+  });
+  const propagator = new W3CTraceContextPropagator();
+  return {
+    tracer: provider.getTracer('citronstage'),
+    traceparentOf: (spanContext) => {
+      const carrier: Record<string, string> = {};
+      propagator.inject(spanContext, carrier, {
+        set: (target: Record<string, string>, key, value) =>
+          Object.assign(target, { [key]: value }),
+      });
+      return carrier.traceparent;
+    },
+    contextOf: (traceparent) =>
+      propagator.extract(
+        context.active(),
+        { traceparent },
+        { get: () => traceparent, keys: () => ['traceparent'] },
+      ),
+    shutdown: () => provider.shutdown(),
+  };
+}
+
+function createExporters(processName: string, settings: TracingSettings): SpanExporter[] {
+  const exporters: SpanExporter[] = [];
+  if (settings.otlpUrl) exporters.push(new OTLPTraceExporter({ url: settings.otlpUrl }));
+  if (settings.file) exporters.push(createFileExporter(processName, settings.file));
+  return exporters;
+}
+
+function createFileExporter(processName: string, file: string): SpanExporter {
+  return {
+    export: (spans: ReadableSpan[], done: (result: ExportResult) => void) => {
+      const lines = spans
+        .map((span) => `${JSON.stringify(recordOf(processName, span))}\n`)
+        .join('');
+      appendFile(file, lines).then(
+        () => done({ code: ExportResultCode.SUCCESS }),
+        (error: Error) => done({ code: ExportResultCode.FAILED, error }),
+      );
+    },
+    shutdown: () => Promise.resolve(),
+  };
+}
+
+function recordOf(processName: string, span: ReadableSpan): SpanRecord {
+  const spanContext = span.spanContext();
+  return {
+    traceId: spanContext.traceId,
+    spanId: spanContext.spanId,
+    parentSpanId: span.parentSpanContext?.spanId ?? null,
+    name: span.name,
+    process: processName,
+    startMs: millisecondsOf(span.startTime),
+    durationMs: millisecondsOf(span.duration),
+    attributes: { ...span.attributes },
+  };
+}
+
+function millisecondsOf([seconds, nanoseconds]: readonly [number, number]): number {
+  return seconds * MS_PER_SECOND + nanoseconds / NANOSECONDS_PER_MS;
+}
