Add configuration follower, publisher and ledger writer

The entry and the agent need a ConfigurationSource and a usage writer.

The ledger is written as parts of at most 200 counters, one row each, by month. The row key is ledgerKey(row) + '/MONTH/NUMBER'.

--- /dev/null
+++ b/src/common/configuration/ConfigurationState.ts
@@ -0,0 +1,129 @@
+import type { Account, Change, ConfigurationSnapshot } from '../protocol/Configuration.js';
+
+/**
+ * Changes that lead from one revision to another. For every subject changed in between, `changes`
+ * holds at least its last change, in order of revisions; the last one is always included, so its
+ * revision is the one that the batch leads to.
+ */
+export interface ChangeBatch {
+  /** Revision that the batch starts from. */
+  readonly after: number;
+  readonly changes: readonly Change[];
+}
+
+/** Outcome of {@link ConfigurationState.apply}; `gap` means that changes before the batch are missing. */
+export type ApplyOutcome = 'applied' | 'known' | 'gap';
+
+const EMPTY: ConfigurationSnapshot = {
+  revision: 0,
+  templates: new Map(),
+  accounts: new Map(),
+  accountsByToken: new Map(),
+  servers: new Map(),
+};
+
+/**
+ * Configuration held by one process: the last change of every subject and the snapshot made of them.
+ * Memory grows with the number of subjects, not with the number of changes. The revision never
+ * decreases. Snapshots given out never change.
+ */
+export class ConfigurationState {
+  private current: ConfigurationSnapshot = EMPTY;
+
+  private readonly lastChanges = new Map<string, Change>();
+
+  /** What is in force. */
+  get snapshot(): ConfigurationSnapshot {
+    return this.current;
+  }
+
+  /**
+   * Takes a batch if it joins on to the revision held. Changes already known are ignored.
+   * @param batch - changes of a peer, of the store or of a publisher
+   * @returns whether the revision rose, was known already, or changes are missing in between
+   */
+  apply(batch: ChangeBatch): ApplyOutcome {
+    const reached = batch.changes.at(-1)?.revision ?? batch.after;
+    if (reached <= this.current.revision) return 'known';
+    if (batch.after > this.current.revision) return 'gap';
+    let next: ConfigurationSnapshot = { ...this.current, revision: reached };
+    for (const change of batch.changes) {
+      if (change.revision <= this.current.revision) continue;
+      this.lastChanges.set(subjectKey(change), change);
+      next = applySubject(next, change);
+    }
+    this.current = Object.freeze(next);
+    return 'applied';
+  }
+
+  /**
+   * @param after - revision held by the asking process
+   * @returns batch from that revision to the one held here
+   */
+  since(after: number): ChangeBatch {
+    const changes = [...this.lastChanges.values()]
+      .filter((change) => change.revision > after)
+      .sort((left, right) => left.revision - right.revision);
+    return { after, changes };
+  }
+}
+
+/**
+ * @param change - change of a template, account or server
+ * @returns key that is the same for all changes of one subject
+ */
+export function subjectKey(change: Pick<Change, 'subject'>): string {
+  const { subject } = change;
+  switch (subject.kind) {
+    case 'template':
+      return `template/${subject.value.name}`;
+    case 'template-retired':
+      return `template/${subject.name}`;
+    case 'account':
+      return `account/${subject.value.id}`;
+    case 'account-retired':
+      return `account/${subject.name}`;
+    default:
+      return `server/${subject.value.id}`;
+  }
+}
+
+function applySubject(snapshot: ConfigurationSnapshot, change: Change): ConfigurationSnapshot {
+  const { subject } = change;
+  switch (subject.kind) {
+    case 'template':
+      return {
+        ...snapshot,
+        templates: withEntry(snapshot.templates, subject.value.name, subject.value),
+      };
+    case 'template-retired':
+      return { ...snapshot, templates: withoutEntry(snapshot.templates, subject.name) };
+    case 'account':
+      return withAccounts(snapshot, withEntry(snapshot.accounts, subject.value.id, subject.value));
+    case 'account-retired':
+      return withAccounts(snapshot, withoutEntry(snapshot.accounts, subject.name));
+    default:
+      return {
+        ...snapshot,
+        servers: withEntry(snapshot.servers, subject.value.id, subject.value),
+      };
+  }
+}
+
+function withAccounts(
+  snapshot: ConfigurationSnapshot,
+  accounts: ReadonlyMap<string, Account>,
+): ConfigurationSnapshot {
+  const byToken = [...accounts.values()].map((account) => [account.tokenDigest, account] as const);
+  return { ...snapshot, accounts, accountsByToken: new Map(byToken) };
+}
+
+function withEntry<V>(map: ReadonlyMap<string, V>, key: string, value: V): ReadonlyMap<string, V> {
+  return new Map(map).set(key, value);
+}
+
+function withoutEntry<V>(map: ReadonlyMap<string, V>, key: string): ReadonlyMap<string, V> {
+  const copy = new Map(map);
+  copy.delete(key);
+  return copy;
+}
--- /dev/null
+++ b/src/common/ledger/LedgerBook.ts
@@ -0,0 +1,132 @@
+import type { LedgerEntry } from '../protocol/Ledger.js';
+import { addUsage } from '../protocol/Usage.js';
+
+/** Entries of one row. At about 280 bytes an entry, a row stays below 64 KB. */
+const ENTRIES_PER_PART = 200;
+
+/** Entries of one month that are written together as one row. */
+export interface LedgerPart {
+  /** `MONTH/NUMBER`, the last part of the row key. */
+  readonly name: string;
+  readonly month: string;
+  /** Grows by one with each addition to the part. */
+  readonly sequence: number;
+  readonly entries: readonly LedgerEntry[];
+}
+
+interface MutablePart {
+  readonly name: string;
+  readonly month: string;
+  sequence: number;
+  /** Sequence number of the newest write known to have taken effect. */
+  written: number;
+  readonly entries: Map<string, LedgerEntry>;
+}
+
+/**
+ * Cumulative usage of one incarnation of one writer. Counters are grouped into parts of bounded
+ * size, by month, so that a flush writes only the parts that changed. The parts of a writer hold
+ * disjoint usage: a report adds them up.
+ */
+export class LedgerBook {
+  private parts: MutablePart[] = [];
+
+  private readonly partOfKey = new Map<string, MutablePart>();
+
+  private nextNumber = 0;
+
+  /** Number of counters held. */
+  get size(): number {
+    return this.partOfKey.size;
+  }
+
+  /**
+   * Adds usage to its counter.
+   * @param delta - usage and attempts to add
+   */
+  add(delta: LedgerEntry): void {
+    const key = counterKey(delta);
+    const part = this.partOfKey.get(key) ?? this.openPart(delta.month, key);
+    const known = part.entries.get(key);
+    const next = known
+      ? {
+          ...known,
+          usage: addUsage(known.usage, delta.usage),
+          attempts: known.attempts + delta.attempts,
+        }
+      : { ...delta };
+    part.entries.set(key, next);
+    part.sequence += 1;
+  }
+
+  /** @returns parts with usage that is not known to be written, longest unwritten change first. */
+  unwritten(): LedgerPart[] {
+    return this.parts
+      .filter((part) => part.sequence > part.written)
+      .map(({ name, month, sequence, entries }) => ({
+        name,
+        month,
+        sequence,
+        entries: [...entries.values()],
+      }));
+  }
+
+  /**
+   * Notes that a part was written.
+   * @param name - name of the part
+   * @param sequence - sequence number that was written
+   */
+  markWritten(name: string, sequence: number): void {
+    const part = this.parts.find((candidate) => candidate.name === name);
+    if (!part) return;
+    part.written = Math.max(part.written, sequence);
+    // The parts written last go to the end, so that a flush that is cut short starts with others.
+    this.parts = [...this.parts.filter((candidate) => candidate !== part), part];
+  }
+
+  /**
+   * Frees the counters of past months that were written. Later usage of these months gets new parts.
+   * @param month - current month; earlier ones are freed
+   * @returns names of the parts freed
+   */
+  forgetBefore(month: string): string[] {
+    const past = this.parts.filter((part) => part.month < month && part.written >= part.sequence);
+    for (const part of past) {
+      for (const key of part.entries.keys()) this.partOfKey.delete(key);
+    }
+    this.parts = this.parts.filter((part) => !past.includes(part));
+    return past.map((part) => part.name);
+  }
+
+  private openPart(month: string, key: string): MutablePart {
+    let part = this.parts.find(
+      (candidate) => candidate.month === month && candidate.entries.size < ENTRIES_PER_PART,
+    );
+    if (!part) {
+      part = {
+        name: `${month}/${this.nextNumber}`,
+        month,
+        sequence: 0,
+        written: 0,
+        entries: new Map(),
+      };
+      this.nextNumber += 1;
+      this.parts.push(part);
+    }
+    this.partOfKey.set(key, part);
+    return part;
+  }
+}
+
+/**
+ * @param wallTimeMs - wall-clock milliseconds since 1970-01-01 UTC
+ * @returns calendar month in UTC, `YYYY-MM`
+ */
+export function monthOf(wallTimeMs: number): string {
+  return new Date(wallTimeMs).toISOString().slice(0, 7);
+}
+
+function counterKey(entry: LedgerEntry): string {
+  const { agentId, agentIncarnation, month, account, template, stage } = entry;
+  return [agentId, agentIncarnation, month, account, template, stage, entry.class].join('\u0000');
+}
--- a/src/follower/Types.ts
+++ b/src/follower/Types.ts
@@ -6,7 +6,26 @@
   ChangeSubject,
   ConfigurationSnapshot,
 } from '../common/protocol/Configuration.js';
-import type { ConfigurationControl } from '../common/protocol/Control.js';
+import type { ChangesSince, ConfigurationControl } from '../common/protocol/Control.js';
+
+/** Delayed actions, injected so that tests run in simulated time. */
+export interface Timers {
+  /**
+   * @param delayMs - delay in milliseconds
+   * @param action - called once after the delay
+   * @returns disposing of it cancels the action
+   */
+  after(delayMs: number, action: () => void): Disposable;
+}
+
+/** Another process that is asked for changes while the store gives none. */
+export interface ConfigurationPeer {
+  /**
+   * @param after - revision held here
+   * @returns later changes; rejects if the peer does not answer in time
+   */
+  since(after: number): Promise<Pick<ChangesSince, 'changes'>>;
+}
 
 /** Keeps the newest configuration that can be learned; the revision held never decreases. */
 export interface ConfigurationSource extends ConfigurationControl, Disposable {
@@ -14,6 +33,8 @@
   snapshot(): ConfigurationSnapshot;
   /** @returns revision known and age of its confirmation by the store. */
   notice(): RevisionNotice;
+  /** Reads the store now; ends when the read ended, with or without success. */
+  refresh(): Promise<void>;
   /** True once the store or a peer gave a revision. */
   readonly ready: boolean;
   /** Fires after a new revision came into force. */
@@ -57,3 +78,12 @@
     subject: ChangeSubject;
   }): Promise<PublishResult>;
 }
+
+/** Tells other processes of a committed change. */
+export interface ChangeNotifier {
+  /**
+   * Best effort: a process that misses the notice learns the change by polling.
+   * @param changes - consecutive changes, oldest first
+   */
+  notify(changes: readonly Change[]): Promise<void>;
+}
--- /dev/null
+++ b/src/ledger/LedgerWriter.test.ts
@@ -0,0 +1,70 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { LedgerRow } from '../common/protocol/Ledger.js';
+import { FakeTableStore, type TableFault } from '../platform/testing/FakeTableStore.js';
+import { createLogger } from '../telemetry/Logger.js';
+import { LedgerWriter, type UsageRecord } from './LedgerWriter.js';
+
+const createWriter = (store: FakeTableStore) =>
+  new LedgerWriter({
+    store,
+    clock: { now: () => 0, wallTime: () => Date.UTC(2026, 2, 31) },
+    writer: 'agent',
+    writerId: 'a1',
+    incarnation: 'i1',
+    flushIntervalMs: 60_000,
+    logger: createLogger('test', 'error'),
+  });
+
+const usage = (stage: string): UsageRecord => ({
+  agentId: 'a1',
+  agentIncarnation: 'i1',
+  account: 'acme',
+  template: 'plan',
+  stage,
+  class: 'useful',
+  usage: { acceleratorMs: 2, tokensIn: 1, tokensOut: 1, calls: 1 },
+});
+
+const totalCalls = (store: FakeTableStore): number =>
+  store.table
+    .scan({ table: 'ledger', prefix: '', limit: 1000 })
+    .flatMap((row) => LedgerRow.parse(row.value).entries)
+    .reduce((sum, entry) => sum + entry.usage.calls, 0);
+
+test('usage is neither lost nor counted twice when writes fail or their answers are lost', async () => {
+  const faults: (TableFault | undefined)[] = [
+    'lost-after-commit',
+    'unavailable',
+    'lost-before-commit',
+    undefined,
+    'lost-after-commit',
+  ];
+  const store = new FakeTableStore();
+  const writer = createWriter(store);
+  let call = 0;
+  store.chooseFault = () => {
+    call += 1;
+    return faults[call % faults.length];
+  };
+  for (let round = 0; round < 20; round += 1) {
+    writer.record(usage('draft'));
+    await writer.flush();
+  }
+  store.chooseFault = () => undefined;
+  assert.equal(await writer.flush(), true);
+  assert.equal(totalCalls(store), 20);
+  writer.dispose();
+});
+
+test('many counters are split into several rows, so that no row becomes too large', async () => {
+  const store = new FakeTableStore();
+  const writer = createWriter(store);
+  for (let stage = 0; stage < 5000; stage += 1) writer.record(usage(`s${stage}`));
+  while (!(await writer.flush()));
+  const rows = store.table.scan({ table: 'ledger', prefix: '', limit: 1000 });
+  assert.equal(rows.length, 25);
+  assert.ok(rows.every((row) => JSON.stringify(row.value).length < 65_536));
+  assert.equal(totalCalls(store), 5000);
+  writer.dispose();
+});
