--- /dev/null
+++ b/src/platform/HttpTableStore.test.ts
@@ -0,0 +1,83 @@
+import assert from 'node:assert/strict';
+import { createServer, type RequestListener, type Server } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { after, test } from 'node:test';
+import { HttpTableStore } from './HttpTableStore.js';
+
+const OPTIONS = { timeoutMs: 150 };
+const WRITE = { checks: [], writes: [{ table: 't', key: 'k', value: 1 }] };
+const servers: Server[] = [];
+const stores: HttpTableStore[] = [];
+
+async function storeFor(listener: RequestListener): Promise<HttpTableStore> {
+  const server = createServer(listener);
+  servers.push(server);
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  return storeAt((server.address() as AddressInfo).port);
+}
+
+function storeAt(port: number): HttpTableStore {
+  const store = new HttpTableStore(`http://127.0.0.1:${port}`);
+  stores.push(store);
+  return store;
+}
+
+async function kinds(store: HttpTableStore): Promise<[string, string]> {
+  const write = await store.transaction(WRITE, OPTIONS);
+  const read = await store.read([{ table: 't', key: 'k' }], OPTIONS);
+  return [write.ok ? 'ok' : write.error.kind, read.ok ? 'ok' : read.error.kind];
+}
+
+after(async () => {
+  await Promise.all(stores.map((store) => store.close()));
+  servers.forEach((server) => {
+    server.closeAllConnections();
+    server.close();
+  });
+});
+
+test('a write without a response is ambiguous, so that nobody reports it as not done', async () => {
+  const silent = await storeFor(() => undefined);
+  assert.deepEqual(await kinds(silent), ['ambiguous', 'unavailable']);
+  const closing = await storeFor((request) => request.socket.destroy());
+  assert.deepEqual(await kinds(closing), ['ambiguous', 'unavailable']);
+  const cutOff = await storeFor((_request, response) => {
+    response.writeHead(200, { 'content-length': 50 });
+    response.write('{"rows":', () => response.destroy());
+  });
+  assert.deepEqual(await kinds(cutOff), ['ambiguous', 'unavailable']);
+});
+
+test('a 503 and a refused connection are unavailable, so that a write can be sent again', async () => {
+  const down = await storeFor((_request, response) => response.writeHead(503).end());
+  assert.deepEqual(await kinds(down), ['unavailable', 'unavailable']);
+  const server = createServer();
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const { port } = server.address() as AddressInfo;
+  await new Promise((resolve) => {
+    server.close(resolve);
+  });
+  assert.deepEqual(await kinds(storeAt(port)), ['unavailable', 'unavailable']);
+});
+
+test('calls after a time-out use new connections, so that silent ones block nothing', async () => {
+  const current = { table: 't', key: 'k', version: 3, value: 'x' };
+  const openSockets = new Set<unknown>();
+  let silentSockets = new Set<unknown>();
+  const store = await storeFor((request, response) => {
+    openSockets.add(request.socket);
+    if (silentSockets.has(request.socket)) return;
+    setTimeout(() => response.writeHead(409).end(JSON.stringify({ current })), 20);
+  });
+  await Promise.all([1, 2, 3, 4].map(() => store.transaction(WRITE, OPTIONS)));
+  assert.equal(openSockets.size, 4);
+  silentSockets = new Set(openSockets);
+  const timedOut = await store.transaction(WRITE, OPTIONS);
+  assert.equal(!timedOut.ok && timedOut.error.kind, 'ambiguous');
+  const result = await store.transaction(WRITE, OPTIONS);
+  assert.deepEqual(result, { ok: false, error: { kind: 'conflict', current } });
+});
--- /dev/null
+++ b/src/platform/ResponseBody.ts
@@ -0,0 +1,40 @@
+/** Checks JSON bodies of platform services. */
+import { z } from 'zod';
+import type { PlatformResult } from './Types.js';
+
+/** A row in bodies of the table service. */
+export const RowBody = z.object({
+  table: z.string(),
+  key: z.string(),
+  version: z.number().int().nonnegative(),
+  value: z.unknown().transform((value) => value ?? null),
+});
+
+/** Body of every successful answer of the table service. */
+export const RowsBody = z.object({ rows: z.array(RowBody) });
+
+/** Body of a 409 answer of the table service: the row whose check failed. */
+export const ConflictBody = z.object({ current: RowBody });
+
+/**
+ * Parses a body.
+ * @param schema - expected shape
+ * @param text - JSON text
+ * @param errorKind - error for a body of another shape: `ambiguous` for writes
+ * @returns the checked value or the error
+ */
+export function parseBody<S extends z.ZodType>(
+  schema: S,
+  text: string,
+  errorKind: 'ambiguous' | 'unavailable',
+): PlatformResult<z.infer<S>> {
+  let json: unknown;
+  try {
+    json = JSON.parse(text);
+  } catch {
+    return { ok: false, error: { kind: errorKind, message: 'response is not JSON' } };
+  }
+  const parsed = schema.safeParse(json);
+  if (parsed.success) return { ok: true, value: parsed.data };
+  return { ok: false, error: { kind: errorKind, message: 'response has an unexpected shape' } };
+}
