--- /dev/null
+++ b/src/bin/citronstage-entry.ts
@@ -0,0 +1,67 @@
+// The rule looks for the source file in package.json, which names the compiled one.
+
+/** Entry instance: serves callers and operators. */
+import yargs from 'yargs';
+import { hideBin } from 'yargs/helpers';
+import { createEntry } from '../entry/createEntry.js';
+import { EntrySettings } from '../entry/EntrySettings.js';
+import { describeProblem, EXIT_BAD_SETTINGS, readSettings } from '../settings/SettingsFile.js';
+import { createLogger } from '../telemetry/Logger.js';
+
+const EXIT_FAILURE = 1;
+
+async function main(): Promise<void> {
+  const parser = yargs(hideBin(process.argv))
+    .scriptName('citronstage-entry')
+    .usage('$0 --config FILE\n\nServes callers and operators until SIGTERM.')
+    .option('config', {
+      type: 'string',
+      describe: 'Settings file (JSON with comments)',
+      demandOption: true,
+    })
+    .option('check', {
+      type: 'boolean',
+      default: false,
+      describe: 'Check the settings, then exit',
+    })
+    .strict()
+    .fail((message, error, usage) => {
+      process.stderr.write(`${message || error.message}\n\n${usage.help()}\n`);
+      process.exit(EXIT_BAD_SETTINGS);
+    });
+  const { config, check } = await parser.parseAsync();
+  const settings = readSettings(config, EntrySettings);
+  if (!settings.ok) {
+    settings.problems.forEach((problem) => process.stderr.write(`${describeProblem(problem)}\n`));
+    process.exit(EXIT_BAD_SETTINGS);
+  }
+  if (check) return;
+  await serve(settings.value);
+}
+
+async function serve(settings: EntrySettings): Promise<void> {
+  const logger = createLogger(settings.id, settings.log.level);
+  const entry = createEntry(settings, logger);
+  const address = await entry.start();
+  process.stdout.write(`${JSON.stringify({ ready: true, id: settings.id, address })}\n`);
+  let stopping = false;
+  const stop = () => {
+    if (stopping) return;
+    stopping = true;
+    logger.info('shutting down');
+    entry.stop().then(
+      (finished) => process.exit(finished ? 0 : EXIT_FAILURE),
+      (error: unknown) => fail(error),
+    );
+  };
+  process.on('SIGTERM', stop);
+  process.on('SIGINT', stop);
+}
+
+function fail(error: unknown): void {
+  const reason = error instanceof Error ? (error.stack ?? error.message) : String(error);
+  process.stderr.write(`${reason}\n`);
+  process.exit(EXIT_FAILURE);
+}
+
+main().catch(fail);
--- /dev/null
+++ b/src/entry/AgentDirectory.ts
@@ -0,0 +1,84 @@
+import type { Disposable } from '../common/events/Types.js';
+import type { Instance } from '../common/protocol/Membership.js';
+import type { RoutedServer } from '../common/routing/Types.js';
+import type { MembershipList } from '../platform/Types.js';
+
+/** Knows the agents of each pool from the platform's lagging list of instances. */
+export class AgentDirectory implements Disposable {
+  private readonly pools = new Map<string, RoutedServer[]>();
+
+  private instances: readonly Instance[] = [];
+
+  private timer: NodeJS.Timeout | null = null;
+
+  private disposed = false;
+
+  private listed = false;
+
+  /**
+   * @param membership - the platform's list
+   * @param pollIntervalMs - time between reads, in ms
+   */
+  constructor(
+    private readonly membership: MembershipList,
+    private readonly pollIntervalMs: number,
+  ) {}
+
+  /** True once the list was read. */
+  get ready(): boolean {
+    return this.listed;
+  }
+
+  /** Starts reading the list periodically. A list that can't be read stays as it was. */
+  start(): void {
+    this.poll().catch(() => undefined);
+  }
+
+  /** Reads the list once. */
+  async refresh(): Promise<void> {
+    const answer = await this.membership.list({ timeoutMs: this.pollIntervalMs });
+    if (!answer.ok) return;
+    this.instances = answer.value;
+    this.listed = true;
+    this.pools.clear();
+    for (const instance of answer.value) this.addAgent(instance);
+  }
+
+  /**
+   * @param pool - name of a pool
+   * @returns live servers of the pool
+   */
+  serversOf(pool: string): readonly RoutedServer[] {
+    return this.pools.get(pool) ?? [];
+  }
+
+  /** @returns all instances as last listed, leaving ones included. */
+  allInstances(): readonly Instance[] {
+    return this.instances;
+  }
+
+  dispose(): void {
+    this.disposed = true;
+    if (this.timer) clearTimeout(this.timer);
+  }
+
+  private async poll(): Promise<void> {
+    await this.refresh();
+    if (this.disposed) return;
+    this.timer = setTimeout(() => this.start(), this.pollIntervalMs);
+  }
+
+  private addAgent(instance: Instance): void {
+    if (instance.role !== 'agent' || instance.state !== 'live' || !instance.pool) return;
+    const server: RoutedServer = {
+      agentId: instance.id,
+      address: instance.address,
+      pool: instance.pool,
+      failureDomain: instance.failureDomain,
+      region: instance.region,
+    };
+    const pool = this.pools.get(instance.pool);
+    if (pool) pool.push(server);
+    else this.pools.set(instance.pool, [server]);
+  }
+}
--- /dev/null
+++ b/src/entry/AttemptStream.ts
@@ -0,0 +1,206 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+import type { Dispatcher } from 'undici';
+import { ATTEMPT_PATH, SILENCE_TIMEOUT_MS } from '../common/protocol/Attempt.js';
+import type { RevisionNotice, Frame } from '../common/protocol/Attempt.js';
+import type { Clock } from '../common/time/Types.js';
+import { findForeignPart } from './FrameCheck.js';
+import { FrameReader } from './FrameReader.js';
+import type { AttemptEnd, AttemptListener, AttemptOrder } from './Types.js';
+
+/** Consecutive connections without a valid frame after which the agent counts as unreachable. */
+const MAX_FRUITLESS_CONNECTIONS = 2;
+
+/** Connections for one attempt in all; bounds the work for an agent that keeps breaking them. */
+const MAX_CONNECTIONS = 8;
+
+/** Added before each re-send after the first, so that an agent that breaks connections is not flooded. */
+const RESEND_PAUSE_MS = 20;
+
+/** Errors that show that a connection was never made, so nothing was sent on it. */
+const CONNECT_ERRORS = new Set([
+  'ECONNREFUSED',
+  'EHOSTUNREACH',
+  'ENETUNREACH',
+  'EADDRNOTAVAIL',
+  'UND_ERR_CONNECT_TIMEOUT',
+]);
+
+/** How one connection of an attempt ended. */
+type ConnectionEnd =
+  | { readonly kind: 'final'; readonly end: AttemptEnd }
+  | { readonly kind: 'unconnected'; readonly message: string }
+  | { readonly kind: 'rejected'; readonly message: string }
+  | { readonly kind: 'broken'; readonly message: string };
+
+/** What an attempt stream needs of its surroundings. */
+export interface AttemptStreamServices {
+  readonly clock: Clock;
+  /** @returns a connection pool for a first send, or a fresh connection for a re-send. */
+  dispatcher(address: string, fresh: boolean): { dispatcher: Dispatcher; release: () => void };
+  headers(): Record<string, string>;
+  notice(): RevisionNotice;
+  onNotice(address: string, notice: RevisionNotice): void;
+}
+
+/** Follows one attempt to its end over as many connections as needed. */
+export class AttemptStream {
+  private nextOffset = 0;
+
+  private incarnation: string | null = null;
+
+  private framesOnConnection = 0;
+
+  constructor(
+    private readonly services: AttemptStreamServices,
+    private readonly order: AttemptOrder,
+    private readonly listener: AttemptListener,
+    private readonly signal: AbortSignal,
+  ) {}
+
+  /** @returns the end of the attempt. */
+  async run(): Promise<AttemptEnd> {
+    let fruitless = 0;
+    let sent = false;
+    let message = '';
+    for (let connection = 0; connection < MAX_CONNECTIONS; connection += 1) {
+      if (connection > 0) {
+        await this.pause((connection - 1) * RESEND_PAUSE_MS);
+        this.listener.onResend(message);
+      }
+      const end = await this.followConnection(connection > 0);
+      if (end.kind === 'final') return end.end;
+      if (this.signal.aborted) return { kind: 'stopped' };
+      if (end.kind === 'unconnected') {
+        return { kind: sent ? 'lost' : 'not-sent', message: end.message };
+      }
+      if (end.kind === 'rejected' && !sent) return { kind: 'not-sent', message: end.message };
+      sent = true;
+      message = end.message;
+      fruitless = this.framesOnConnection > 0 ? 0 : fruitless + 1;
+      if (fruitless >= MAX_FRUITLESS_CONNECTIONS) break;
+    }
+    return { kind: 'lost', message };
+  }
+
+  private async pause(ms: number): Promise<void> {
+    if (ms === 0) return;
+    await sleep(ms, undefined, { signal: this.signal }).catch(() => undefined);
+  }
+
+  private async followConnection(fresh: boolean): Promise<ConnectionEnd> {
+    const { dispatcher, release } = this.services.dispatcher(this.order.address, fresh);
+    const connection = new AbortController();
+    const stop = () => connection.abort(new Error('stopped'));
+    if (this.signal.aborted) stop();
+    this.signal.addEventListener('abort', stop, { once: true });
+    const silence = setTimeout(
+      () => connection.abort(new Error(`no frame for ${SILENCE_TIMEOUT_MS} ms`)),
+      SILENCE_TIMEOUT_MS,
+    );
+    this.framesOnConnection = 0;
+    try {
+      return await this.exchange(dispatcher, connection, silence);
+    } catch (error) {
+      return describeError(error, connection.signal);
+    } finally {
+      clearTimeout(silence);
+      this.signal.removeEventListener('abort', stop);
+      connection.abort();
+      release();
+    }
+  }
+
+  private async exchange(
+    dispatcher: Dispatcher,
+    connection: AbortController,
+    silence: NodeJS.Timeout,
+  ): Promise<ConnectionEnd> {
+    const response = await dispatcher.request({
+      origin: `http://${this.order.address}`,
+      path: ATTEMPT_PATH,
+      method: 'POST',
+      headers: { 'content-type': 'application/json', ...this.services.headers() },
+      body: this.createBody(),
+      signal: connection.signal,
+    });
+    if (response.statusCode !== 200) {
+      const text = (await response.body.text()).slice(0, 200);
+      const message = `agent answered ${response.statusCode}: ${text}`;
+      return { kind: response.statusCode < 500 ? 'rejected' : 'broken', message };
+    }
+    const reader = new FrameReader();
+    response.body.setEncoding('utf8');
+    for await (const text of response.body) {
+      silence.refresh();
+      const frames = reader.read(text as string);
+      if (!frames) return { kind: 'broken', message: 'invalid frame' };
+      for (const frame of frames) {
+        const end = this.take(frame);
+        if (end) return end;
+      }
+    }
+    return { kind: 'broken', message: 'stream ended without a final frame' };
+  }
+
+  private createBody(): string {
+    const remainingMs = Math.max(0, this.order.deadlineAt - this.services.clock.now());
+    return JSON.stringify({
+      ...this.order.content,
+      remainingMs,
+      resumeFrom: this.nextOffset,
+      notice: this.services.notice(),
+    });
+  }
+
+  /** @returns the end of the connection, or null if more frames follow. */
+  private take(frame: Frame): ConnectionEnd | null {
+    const problem = findForeignPart(frame, this.order.content, this.order.shared);
+    if (problem) return { kind: 'broken', message: problem };
+    if (!this.checkIncarnation(frame.incarnation)) {
+      return { kind: 'broken', message: 'agent restarted' };
+    }
+    if (frame.type === 'chunk') return this.takeChunk(frame);
+    this.framesOnConnection += 1;
+    this.listener.onLoad(frame.load, frame.incarnation);
+    this.services.onNotice(this.order.address, frame.notice);
+    if (frame.type === 'accepted' || frame.type === 'heartbeat') return null;
+    if (frame.type === 'result') {
+      // A replayed result has no stream, so only a running stream can have a gap.
+      if (!frame.replayed && frame.chunks > this.nextOffset) {
+        return { kind: 'broken', message: 'chunks are missing' };
+      }
+      return { kind: 'final', end: { kind: 'result', frame } };
+    }
+    const end: AttemptEnd =
+      frame.type === 'refused' ? { kind: 'refused', frame } : { kind: 'failed', frame };
+    return { kind: 'final', end };
+  }
+
+  private takeChunk(frame: Extract<Frame, { type: 'chunk' }>): ConnectionEnd | null {
+    if (frame.offset > this.nextOffset) return { kind: 'broken', message: 'chunks are missing' };
+    // A chunk that was received before: the agent sent it again after a reconnection.
+    if (frame.offset < this.nextOffset) return null;
+    this.framesOnConnection += 1;
+    this.nextOffset += 1;
+    this.listener.onChunk(frame.offset, frame.text);
+    return null;
+  }
+
+  /** @returns false if chunks of an earlier incarnation were received: those are void now. */
+  private checkIncarnation(incarnation: string): boolean {
+    const restarted = this.incarnation !== null && this.incarnation !== incarnation;
+    this.incarnation = incarnation;
+    if (!restarted || this.nextOffset === 0) return true;
+    this.nextOffset = 0;
+    this.listener.onRestart();
+    return false;
+  }
+}
+
+function describeError(error: unknown, signal: AbortSignal): ConnectionEnd {
+  const reason: unknown = signal.aborted ? signal.reason : error;
+  const message = reason instanceof Error ? reason.message : String(reason);
+  const code = (error as { code?: unknown }).code;
+  const unconnected = typeof code === 'string' && CONNECT_ERRORS.has(code);
+  return { kind: unconnected ? 'unconnected' : 'broken', message };
+}
--- /dev/null
+++ b/src/entry/CallerApi.ts
@@ -0,0 +1,156 @@
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { start, stop, type ActorSystemRef } from 'nact';
+import { MAX_REQUEST_BYTES } from '../common/protocol/CallerRequest.js';
+import type { Clock } from '../common/time/Types.js';
+import type { ConfigurationSource } from '../follower/Types.js';
+import { authenticate, checkRequest, refuse, type CheckedRequest } from './Admission.js';
+import { createRequestId } from './AttemptId.js';
+import { CallerResponse } from './CallerResponse.js';
+import { readBody } from './HttpBody.js';
+import { executeRequest } from './RequestActor.js';
+import type { AbandonReason, Failure, RequestContext, RequestEnd, StageExecutor } from './Types.js';
+
+const PATH = /^\/v1\/pipelines\/([^/?]+)\/requests(?:\?.*)?$/;
+
+/** What the caller interface needs. */
+export interface CallerApiOptions {
+  readonly entryId: string;
+  readonly clock: Clock;
+  readonly configuration: ConfigurationSource;
+  readonly executor: StageExecutor;
+}
+
+/** The interface of callers: `POST /v1/pipelines/{template}/requests`. */
+export class CallerApi {
+  private readonly system: ActorSystemRef = start();
+
+  private running = 0;
+
+  private idleListeners: (() => void)[] = [];
+
+  constructor(private readonly options: CallerApiOptions) {}
+
+  /** Requests in progress. */
+  get requestsRunning(): number {
+    return this.running;
+  }
+
+  /**
+   * @param request - request from a caller
+   * @param response - response to it
+   * @returns false if the path is not one of this interface
+   */
+  async handle(request: IncomingMessage, response: ServerResponse): Promise<boolean> {
+    const template = PATH.exec(request.url ?? '')?.[1];
+    if (template === undefined) return false;
+    const answer = new CallerResponse(request, response);
+    const refusal = await this.serve(request, decodePath(template), answer);
+    if (refusal) {
+      // The rest of a body that was not read must not be taken for the next request.
+      if (!request.complete) response.setHeader('connection', 'close');
+      answer.fail(refusal);
+    }
+    return true;
+  }
+
+  /** Resolves when no request is in progress. */
+  async whenIdle(): Promise<void> {
+    if (this.running === 0) return;
+    await new Promise<void>((resolve) => {
+      this.idleListeners.push(resolve);
+    });
+  }
+
+  dispose(): void {
+    stop(this.system);
+  }
+
+  /** @returns why the request is refused, or null after it was answered. */
+  private async serve(
+    request: IncomingMessage,
+    template: string,
+    answer: CallerResponse,
+  ): Promise<Failure | null> {
+    const arrivedAt = this.options.clock.now();
+    if (request.method !== 'POST') return refuse('bad-request', 'the method is not POST').failure;
+    const { configuration } = this.options;
+    if (!configuration.ready) {
+      return refuse('unavailable', 'this entry has no configuration yet').failure;
+    }
+    const account = authenticate(request.headers, configuration.snapshot());
+    if (!account.ok) return account.failure;
+    const body = await readBody(request, MAX_REQUEST_BYTES);
+    if (!body.ok) {
+      return body.reason === 'too-large'
+        ? refuse('too-large', `the body is larger than ${MAX_REQUEST_BYTES} bytes`).failure
+        : refuse('cancelled', 'the caller disconnected').failure;
+    }
+    const snapshot = configuration.snapshot();
+    const checked = checkRequest(account.value, template, request.headers, body.text, snapshot);
+    if (!checked.ok) return checked.failure;
+    await this.execute(checked.value, answer, arrivedAt, snapshot.revision);
+    return null;
+  }
+
+  private async execute(
+    checked: CheckedRequest,
+    answer: CallerResponse,
+    arrivedAt: number,
+    revision: number,
+  ): Promise<void> {
+    const requestId = createRequestId(this.options.entryId);
+    const abandon = new AbortController();
+    const giveUp = (reason: AbandonReason) => abandon.abort(reason);
+    const deadline = setTimeout(() => giveUp('deadline'), checked.deadlineMs);
+    answer.onDisconnect(() => giveUp('caller-gone'));
+    const context: RequestContext = {
+      requestId,
+      account: checked.account,
+      template: checked.plan.template,
+      idempotencyKey: checked.idempotencyKey,
+      deadlineAt: arrivedAt + checked.deadlineMs,
+      pinnedRevision: revision,
+      weight: checked.weight,
+      signal: abandon.signal,
+      traceparent: undefined,
+      decide: () => undefined,
+    };
+    answer.accept(requestId);
+    const end = await this.track(() =>
+      executeRequest(
+        this.system,
+        {
+          context,
+          plan: checked.plan,
+          input: checked.input,
+          onChunk: (offset, text) => answer.chunk(offset, text),
+        },
+        this.options.executor,
+      ),
+    );
+    clearTimeout(deadline);
+    answer.finish(requestId, end);
+  }
+
+  private async track(run: () => Promise<RequestEnd>): Promise<RequestEnd> {
+    this.running += 1;
+    try {
+      return await run();
+    } finally {
+      this.running -= 1;
+      if (this.running === 0) {
+        const listeners = this.idleListeners;
+        this.idleListeners = [];
+        listeners.forEach((listener) => listener());
+      }
+    }
+  }
+}
+
+function decodePath(part: string): string {
+  try {
+    return decodeURIComponent(part);
+  } catch {
+    return part;
+  }
+}
--- /dev/null
+++ b/src/entry/CallerResponse.ts
@@ -0,0 +1,74 @@
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { CALLER_ERROR_STATUS, type CallerError } from '../common/protocol/CallerError.js';
+import { sendJson } from './HttpBody.js';
+import type { Failure, RequestEnd } from './Types.js';
+
+const EVENT_STREAM = 'text/event-stream';
+const MS_PER_SECOND = 1000;
+
+/** Answers one caller, as JSON or as server-sent events. */
+export class CallerResponse {
+  private readonly streaming: boolean;
+
+  constructor(
+    request: IncomingMessage,
+    private readonly response: ServerResponse,
+  ) {
+    this.streaming = (request.headers.accept ?? '').includes(EVENT_STREAM);
+  }
+
+  /** Calls the listener if the caller disconnects before the answer is complete. */
+  onDisconnect(listener: () => void): void {
+    this.response.on('close', () => {
+      if (!this.response.writableFinished) listener();
+    });
+  }
+
+  /** Tells a streaming caller that the request was admitted. */
+  accept(requestId: string): void {
+    if (!this.streaming) return;
+    this.response.writeHead(200, { 'content-type': EVENT_STREAM, 'cache-control': 'no-store' });
+    this.event('accepted', { requestId });
+  }
+
+  /** Passes text on to a streaming caller. Offset 0 again means that the text starts anew. */
+  chunk(offset: number, text: string): void {
+    if (this.streaming) this.event('chunk', { offset, text });
+  }
+
+  /** Ends the answer. */
+  finish(requestId: string, end: RequestEnd): void {
+    if (!end.ok) {
+      this.fail(end.failure, requestId);
+      return;
+    }
+    const stages = end.stages.map(({ stage, usage, replayed }) => ({ stage, usage, replayed }));
+    const body = { requestId, output: end.output, stages };
+    if (this.streaming) this.lastEvent('result', body);
+    else sendJson(this.response, 200, body);
+  }
+
+  /** Ends the answer with an error; as JSON if the request was not admitted yet. */
+  fail(failure: Failure, requestId?: string): void {
+    const { kind, outcome, message, retryAfterMs } = failure;
+    const body: CallerError = { error: { kind, outcome, message, requestId, retryAfterMs } };
+    if (this.response.headersSent) {
+      this.lastEvent('error', body);
+      return;
+    }
+    if (retryAfterMs !== undefined && !this.response.destroyed) {
+      this.response.setHeader('retry-after', Math.ceil(retryAfterMs / MS_PER_SECOND));
+    }
+    sendJson(this.response, CALLER_ERROR_STATUS[kind], body);
+  }
+
+  private lastEvent(name: string, data: unknown): void {
+    this.event(name, data);
+    this.response.end();
+  }
+
+  private event(name: string, data: unknown): void {
+    if (this.response.destroyed) return;
+    this.response.write(`event: ${name}\ndata: ${JSON.stringify(data)}\n\n`);
+  }
+}
--- /dev/null
+++ b/src/entry/Entry.ts
@@ -0,0 +1,164 @@
+import type { Clock, RandomSource } from '../common/time/Types.js';
+import type { EntryControl } from '../common/protocol/Control.js';
+import { RetryBudget } from '../common/routing/RetryBudget.js';
+import { Router } from '../common/routing/Router.js';
+import type { ConfigurationSource } from '../follower/Types.js';
+import type { MembershipList, ObjectStore, TableStore } from '../platform/Types.js';
+import type { Logger } from '../telemetry/Logger.js';
+import type { Metrics } from '../telemetry/Metrics.js';
+import type { Tracing } from '../telemetry/Tracing.js';
+import { AgentClient } from './AgentClient.js';
+import { AgentDirectory } from './AgentDirectory.js';
+import { CallerApi } from './CallerApi.js';
+import { ClaimSettler } from './ClaimSettler.js';
+import { createEntryRouter } from './EntryRouter.js';
+import { EntryServer, type Handler } from './EntryServer.js';
+import type { EntrySettings } from './EntrySettings.js';
+import { SchemaChecks } from './SchemaChecks.js';
+import { StageRunner } from './StageRunner.js';
+import type { UsageRecorder } from './Types.js';
+
+const POLL_INTERVAL_MS = 25;
+
+/** Services that an entry is made of; tests replace them. */
+export interface EntryOptions {
+  readonly settings: EntrySettings;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly configuration: ConfigurationSource;
+  readonly membership: MembershipList;
+  readonly table: TableStore;
+  readonly objects: ObjectStore;
+  readonly ledger: UsageRecorder;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+  readonly tracing: Tracing;
+  /** Handler of paths under `/v1/operator/`. */
+  readonly operators: (control: EntryControl) => Handler;
+}
+
+/** One entry instance: the caller interface and everything behind it. */
+export class Entry {
+  private readonly directory: AgentDirectory;
+
+  private readonly agents: AgentClient;
+
+  private readonly callers: CallerApi;
+
+  private readonly server: EntryServer;
+
+  private stopping = false;
+
+  constructor(private readonly options: EntryOptions) {
+    const { settings, clock, configuration } = options;
+    this.directory = new AgentDirectory(options.membership, settings.membership.pollIntervalMs);
+    this.agents = new AgentClient({
+      clock,
+      internalToken: settings.internalToken,
+      notice: () => configuration.notice(),
+      onNotice: (notice, pull) => configuration.hear(notice, pull),
+    });
+    const router = new Router({
+      random: options.random,
+      location: { failureDomain: settings.failureDomain, region: settings.region },
+      candidates: settings.policy.candidates,
+      serversOf: (pool) => this.directory.serversOf(pool),
+    });
+    const executor = new StageRunner({
+      clock,
+      agents: this.agents,
+      router,
+      retries: new RetryBudget(settings.policy.retryBudget),
+      claims: new ClaimSettler(),
+      schemas: new SchemaChecks(),
+      ledger: options.ledger,
+    });
+    this.callers = new CallerApi({ entryId: settings.id, clock, configuration, executor });
+    const control = this.createControl();
+    this.server = new EntryServer({
+      address: settings.address,
+      internalToken: settings.internalToken,
+      router: createEntryRouter(control),
+      callers: (request, response) => this.callers.handle(request, response),
+      operators: options.operators(control),
+      metrics: (request, response) => options.metrics.handle(request, response),
+      findNotReadyReasons: () => this.findNotReadyReasons(),
+      logger: options.logger,
+    });
+  }
+
+  /**
+   * Starts serving.
+   * @returns `ip:port` that the entry listens on
+   */
+  async start(): Promise<string> {
+    this.directory.start();
+    return this.server.listen();
+  }
+
+  /**
+   * Shuts down without interrupting requests: fails the readiness check, goes on serving until the
+   * balancer has noticed, then closes the listener and finishes running requests.
+   * @returns false if requests were still running at the shutdown deadline
+   */
+  async stop(): Promise<boolean> {
+    const { shutdown } = this.options.settings;
+    this.stopping = true;
+    await sleep(shutdown.balancerDelayMs);
+    const closed = this.server.close();
+    const finished = await Promise.race([
+      this.callers.whenIdle().then(() => true),
+      sleep(shutdown.deadlineMs).then(() => false),
+    ]);
+    if (!finished) this.server.closeAllConnections();
+    await Promise.race([closed, this.closeIdleConnections()]);
+    await this.dispose();
+    return finished;
+  }
+
+  private async closeIdleConnections(): Promise<void> {
+    // A connection that becomes idle after close() was called is not closed by it.
+    await sleep(POLL_INTERVAL_MS);
+    this.server.closeAllConnections();
+  }
+
+  private async dispose(): Promise<void> {
+    this.callers.dispose();
+    this.directory.dispose();
+    await this.agents.close();
+    await this.options.ledger.flush();
+    this.options.ledger.dispose();
+    this.options.configuration.dispose();
+    await this.options.tracing.shutdown();
+    await this.options.metrics.shutdown();
+  }
+
+  private findNotReadyReasons(): string[] {
+    const reasons: string[] = [];
+    if (!this.options.configuration.ready) reasons.push('no configuration revision is known');
+    if (!this.directory.ready) reasons.push('the membership list was not read yet');
+    if (this.stopping) reasons.push('shutting down');
+    return reasons;
+  }
+
+  private createControl(): EntryControl {
+    const { configuration, settings } = this.options;
+    return {
+      configuration,
+      explanation: async () => null,
+      status: async () => ({
+        entryId: settings.id,
+        notice: configuration.notice(),
+        requestsRunning: this.callers.requestsRunning,
+        ready: this.findNotReadyReasons().length === 0,
+        servers: [],
+      }),
+    };
+  }
+}
+
+function sleep(ms: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
+}
--- /dev/null
+++ b/src/entry/RefusalActions.ts
@@ -0,0 +1,30 @@
+/** What the entry does after each kind of refusal. The refused attempt did not run. */
+import type { RefusalReason } from '../common/protocol/Attempt.js';
+import type { CallerErrorKind } from '../common/protocol/CallerError.js';
+
+/**
+ * - `try-next`: another server may take it.
+ * - `try-again`: the same server may take it a little later.
+ * - `new-id`: the attempt id is in use for another input.
+ * - `settle`: another attempt holds the claim.
+ * - `fail`: no server will take it.
+ */
+export interface RefusalAction {
+  readonly kind: 'try-next' | 'try-again' | 'new-id' | 'settle' | 'fail';
+  /** Error that the caller gets if the request fails because of it. */
+  readonly failure: CallerErrorKind;
+}
+
+export const REFUSAL_ACTIONS: Readonly<Record<RefusalReason, RefusalAction>> = {
+  draining: { kind: 'try-next', failure: 'unavailable' },
+  infeasible: { kind: 'try-next', failure: 'infeasible' },
+  'queue-full': { kind: 'try-next', failure: 'overloaded' },
+  'stale-revision': { kind: 'try-again', failure: 'unavailable' },
+  voided: { kind: 'try-again', failure: 'unavailable' },
+  claimed: { kind: 'settle', failure: 'outcome-unknown' },
+  'claim-unavailable': { kind: 'fail', failure: 'unavailable' },
+  'attempt-mismatch': { kind: 'new-id', failure: 'idempotency-key-reused' },
+  'idempotency-key-reused': { kind: 'fail', failure: 'idempotency-key-reused' },
+  'wrong-server': { kind: 'try-next', failure: 'unavailable' },
+  invalid: { kind: 'fail', failure: 'bad-request' },
+};
--- /dev/null
+++ b/src/entry/StageRun.ts
@@ -0,0 +1,269 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+import type { Claim } from '../common/protocol/Claim.js';
+import type { Outcome } from '../common/protocol/CallerError.js';
+import { NO_USAGE } from '../common/protocol/Usage.js';
+import type { RoutedServer } from '../common/routing/Types.js';
+import { createAttemptId, deriveAttemptId } from './AttemptId.js';
+import { REFUSAL_ACTIONS, type RefusalAction } from './RefusalActions.js';
+import { SentAttempt } from './SentAttempt.js';
+import type { StageServices } from './StageRunner.js';
+import type {
+  AbandonReason,
+  AttemptEnd,
+  Failure,
+  RefusedFrame,
+  ResultFrame,
+  StageEnd,
+  StageTask,
+} from './Types.js';
+
+/** Attempts of one stage. Candidate sets have 8 servers; more tries rarely meet a better one. */
+const MAX_TRIES = 6;
+
+/** Pause before servers that were tried are tried again, in ms; doubled each time. */
+const RETRY_PAUSE_MS = 50;
+
+/** Suggested to callers that are refused for want of servers. */
+const RETRY_AFTER_MS = 1000;
+
+/** Null: try again. */
+type Step = StageEnd | null;
+
+/** Runs one stage of one request, over as many attempts as needed and allowed. */
+export class StageRun {
+  private readonly attempts: SentAttempt[] = [];
+
+  private readonly tried = new Set<string>();
+
+  private pauses = 0;
+
+  private replacesClaim: Claim | undefined;
+
+  /** True if derived attempt ids are in use for another input. */
+  private randomIds = false;
+
+  private lastFailure: Omit<Failure, 'outcome'> = {
+    kind: 'unavailable',
+    message: 'no backend server is available',
+    retryAfterMs: RETRY_AFTER_MS,
+  };
+
+  constructor(
+    private readonly services: StageServices,
+    private readonly task: StageTask,
+  ) {}
+
+  /** @returns the end of the stage. */
+  async run(): Promise<StageEnd> {
+    const { stage, input, context } = this.task;
+    const problem = this.services.schemas.findProblem(stage.inputSchema, input);
+    if (problem) return this.fail('bad-request', `input of stage "${stage.name}": ${problem}`);
+    this.services.retries.earn();
+    while (!context.signal.aborted) {
+      if (this.attempts.length >= MAX_TRIES) return this.failLast();
+      const server = this.route();
+      if (!server) {
+        if (!(await this.pause())) return this.failLast();
+        continue;
+      }
+      const attempt = this.send(server);
+      const step = await this.conclude(attempt, await attempt.end);
+      if (step) return step;
+    }
+    return this.abandon();
+  }
+
+  private route(): RoutedServer | null {
+    const { context, stage } = this.task;
+    const server = this.services.router.choose({
+      pool: stage.pool,
+      key: context.idempotencyKey ?? context.requestId,
+      sticky: context.idempotencyKey !== undefined,
+      exclude: this.tried,
+    });
+    if (server) context.decide(stage.name, 'route', `to ${server.agentId}`);
+    return server;
+  }
+
+  private send(server: RoutedServer): SentAttempt {
+    const { context, stage, input, onChunk } = this.task;
+    this.tried.add(server.agentId);
+    const attempt = new SentAttempt(this.services, {
+      server,
+      context,
+      onChunk,
+      shared: context.idempotencyKey !== undefined && !this.randomIds,
+      content: {
+        attemptId: this.nextAttemptId(),
+        requestId: context.requestId,
+        account: context.account.id,
+        template: context.template,
+        stage: stage.name,
+        kind: stage.kind,
+        model: stage.model,
+        operation: stage.operation,
+        input,
+        idempotent: stage.idempotent,
+        idempotencyKey: context.idempotencyKey,
+        replacesClaim: this.replacesClaim,
+        weight: context.weight,
+        priority: context.account.priority,
+        hedge: this.attempts.length > 0,
+        pinnedRevision: context.pinnedRevision,
+        traceparent: context.traceparent,
+      },
+    });
+    this.attempts.push(attempt);
+    context.decide(stage.name, 'send', `attempt ${attempt.id} to ${server.agentId}`);
+    return attempt;
+  }
+
+  private nextAttemptId(): string {
+    const { account, idempotencyKey } = this.task.context;
+    if (idempotencyKey === undefined || this.randomIds) return createAttemptId();
+    return deriveAttemptId(account.id, idempotencyKey, this.task.stage.name, this.attempts.length);
+  }
+
+  private conclude(attempt: SentAttempt, end: AttemptEnd): Promise<Step> | Step {
+    const { context, stage } = this.task;
+    if (end.kind !== 'result') {
+      const detail = 'frame' in end ? `${end.kind}: ${end.frame.message}` : end.kind;
+      context.decide(stage.name, 'attempt-ended', `${attempt.server.agentId}: ${detail}`);
+    }
+    switch (end.kind) {
+      case 'result':
+        return this.takeResult(attempt, end.frame);
+      case 'refused':
+        return this.takeRefusal(end.frame);
+      case 'failed':
+        return this.retryAfterFailure(`backend server failed: ${end.frame.message}`, true);
+      case 'lost':
+        return this.retryAfterFailure(`agent can't be reached: ${end.message}`, false);
+      case 'not-sent':
+        this.noteFailure('unavailable', `agent can't be reached: ${end.message}`);
+        return null;
+      default:
+        return null;
+    }
+  }
+
+  private takeResult(attempt: SentAttempt, frame: ResultFrame): StageEnd {
+    this.services.agents.acknowledge(attempt.server.address, { attemptId: attempt.id, won: true });
+    return this.finish(frame.output, frame.usage, frame.replayed);
+  }
+
+  private finish(text: string, usage: ResultFrame['usage'], replayed: boolean): StageEnd {
+    const { stage, context } = this.task;
+    const output: unknown = JSON.parse(text);
+    const problem = this.services.schemas.findProblem(stage.outputSchema, output);
+    if (problem) {
+      const message = `output of stage "${stage.name}": ${problem}`;
+      return { ok: false, failure: { kind: 'stage-failed', message, outcome: 'ran' } };
+    }
+    context.decide(stage.name, 'finish', replayed ? 'replayed result' : 'result');
+    return { ok: true, result: { stage: stage.name, output, usage, replayed } };
+  }
+
+  /** A non-idempotent attempt that reached its server is not repeated unless it surely did not run. */
+  private async retryAfterFailure(message: string, handedOver: boolean): Promise<Step> {
+    const { stage } = this.task;
+    if (!stage.idempotent && handedOver) {
+      return this.fail('stage-failed', `stage "${stage.name}": ${message}`);
+    }
+    this.noteFailure('stage-failed', `stage "${stage.name}": ${message}`);
+    if (!this.services.retries.trySpend()) {
+      this.task.context.decide(stage.name, 'refuse', 'retry budget is spent');
+      return this.failLast();
+    }
+    this.task.context.decide(stage.name, 'retry', message);
+    return null;
+  }
+
+  private takeRefusal(frame: RefusedFrame): Promise<Step> | Step {
+    const action = REFUSAL_ACTIONS[frame.reason];
+    const handlers: Record<RefusalAction['kind'], () => Promise<Step> | Step> = {
+      'try-next': () => {
+        this.noteFailure(action.failure, frame.message, frame.retryAfterMs);
+        return null;
+      },
+      'try-again': () => this.tryAgain(frame),
+      'new-id': () => {
+        if (!this.task.stage.idempotent) return this.fail('idempotency-key-reused', frame.message);
+        this.randomIds = true;
+        this.tried.clear();
+        return null;
+      },
+      settle: () => this.settleClaim(frame),
+      fail: () => this.fail(action.failure, frame.message, frame.retryAfterMs),
+    };
+    return handlers[action.kind]();
+  }
+
+  private async tryAgain(frame: RefusedFrame): Promise<Step> {
+    this.noteFailure('unavailable', frame.message, frame.retryAfterMs);
+    this.tried.clear();
+    await this.sleep(RETRY_PAUSE_MS);
+    return null;
+  }
+
+  private async settleClaim(frame: RefusedFrame): Promise<Step> {
+    const { stage, context } = this.task;
+    if (!frame.claim) return this.fail('outcome-unknown', 'claimed by an unknown attempt');
+    const verdict = await this.services.claims.settle(frame.claim, stage.name, context);
+    context.decide(stage.name, 'settle', verdict.kind);
+    if (verdict.kind === 'output') return this.finish(verdict.output, NO_USAGE, true);
+    return this.fail('outcome-unknown', `stage "${stage.name}" may have run`, undefined, 'unknown');
+  }
+
+  /** @returns false if there is no time or no reason to wait for servers. */
+  private async pause(): Promise<boolean> {
+    const waitMs = RETRY_PAUSE_MS * 2 ** this.pauses;
+    const remainingMs = this.task.context.deadlineAt - this.services.clock.now();
+    if (waitMs >= remainingMs) return false;
+    this.pauses += 1;
+    this.tried.clear();
+    await this.sleep(waitMs);
+    return true;
+  }
+
+  private async sleep(ms: number): Promise<void> {
+    await sleep(ms, undefined, { signal: this.task.context.signal }).catch(() => undefined);
+  }
+
+  private abandon(): Promise<StageEnd> {
+    const reason = this.task.context.signal.reason as AbandonReason;
+    const { name } = this.task.stage;
+    if (reason === 'caller-gone') {
+      for (const attempt of this.attempts) if (attempt.fate === 'unclear') attempt.cancel();
+      return this.fail('cancelled', `the caller disconnected during stage "${name}"`);
+    }
+    return this.fail('deadline-exceeded', `the deadline passed during stage "${name}"`);
+  }
+
+  private noteFailure(kind: Failure['kind'], message: string, retryAfterMs?: number): void {
+    this.lastFailure = { kind, message, retryAfterMs };
+  }
+
+  private failLast(): Promise<StageEnd> {
+    const { kind, message, retryAfterMs } = this.lastFailure;
+    return this.fail(kind, message, retryAfterMs);
+  }
+
+  /** Ends the stage without a result, after all attempts that may still run were voided. */
+  private async fail(
+    kind: Failure['kind'],
+    message: string,
+    retryAfterMs?: number,
+    known?: Outcome,
+  ): Promise<StageEnd> {
+    const outcome = known ?? (await this.settleOutcome());
+    return { ok: false, failure: { kind, message, outcome, retryAfterMs } };
+  }
+
+  private async settleOutcome(): Promise<Outcome> {
+    const fates = await Promise.all(this.attempts.map((attempt) => attempt.voidIfWaiting()));
+    if (fates.every((fate) => fate === 'not-run')) return 'not-run';
+    const finished = fates.every((fate) => fate === 'not-run' || fate === 'finished');
+    return this.task.stage.idempotent || finished ? 'ran' : 'unknown';
+  }
+}
--- /dev/null
+++ b/src/entry/createEntry.ts
@@ -0,0 +1,69 @@
+/** Builds an entry from its settings. */
+import { randomBytes } from 'node:crypto';
+import { SeededRandom } from '../common/time/SeededRandom.js';
+import { ConfigurationFollower } from '../follower/ConfigurationFollower.js';
+import { createPeers } from '../follower/ConfigurationClients.js';
+import { LedgerWriter } from '../ledger/LedgerWriter.js';
+import { HttpMembershipList } from '../platform/HttpMembershipList.js';
+import { HttpObjectStore } from '../platform/HttpObjectStore.js';
+import { HttpTableStore } from '../platform/HttpTableStore.js';
+import { SystemClock } from '../platform/SystemClock.js';
+import type { Logger } from '../telemetry/Logger.js';
+import { createMetrics } from '../telemetry/Metrics.js';
+import { createTracing } from '../telemetry/Tracing.js';
+import { Entry } from './Entry.js';
+import type { EntrySettings } from './EntrySettings.js';
+
+const INCARNATION_BYTES = 8;
+const SEED_BYTES = 4;
+
+/**
+ * Connects an entry to the platform's services.
+ * @param settings - checked settings
+ * @param logger - logger of the process
+ * @returns an entry that is not started yet
+ */
+export function createEntry(settings: EntrySettings, logger: Logger): Entry {
+  const clock = new SystemClock();
+  const random = new SeededRandom(randomBytes(SEED_BYTES).readInt32LE());
+  const table = new HttpTableStore(settings.platform.tableUrl);
+  const membership = new HttpMembershipList(settings.platform.membershipUrl);
+  const configuration = new ConfigurationFollower({
+    store: table,
+    clock,
+    random,
+    pollIntervalMs: settings.configuration.pollIntervalMs,
+    peers: createPeers({
+      ownId: settings.id,
+      membership,
+      addresses: settings.peers,
+      internalToken: settings.internalToken,
+    }),
+    logger,
+  });
+  configuration.start().catch((error: unknown) => {
+    logger.error('reading the configuration failed', { reason: String(error) });
+  });
+  return new Entry({
+    settings,
+    clock,
+    random,
+    configuration,
+    membership,
+    table,
+    objects: new HttpObjectStore(settings.platform.objectUrl),
+    ledger: new LedgerWriter({
+      store: table,
+      clock,
+      writer: 'entry',
+      writerId: settings.id,
+      incarnation: randomBytes(INCARNATION_BYTES).toString('hex'),
+      flushIntervalMs: settings.ledger.flushIntervalMs,
+      logger,
+    }),
+    logger,
+    metrics: createMetrics(),
+    tracing: createTracing(settings.id, settings.tracing),
+    operators: () => async () => false,
+  });
+}
--- /dev/null
+++ b/src/entry/testing/FakeAgent.ts
@@ -0,0 +1,270 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { nodeHTTPRequestHandler } from '@trpc/server/adapters/node-http';
+import { createAgentRouter } from '../../agent/AgentRouter.js';
+import { sha256 } from '../../common/Digest.js';
+import {
+  ATTEMPT_PATH,
+  HEARTBEAT_INTERVAL_MS,
+  type Attempt,
+  type AttemptStatus,
+  type Frame,
+  type RefusalReason,
+} from '../../common/protocol/Attempt.js';
+import type { Claim } from '../../common/protocol/Claim.js';
+import type { Acknowledgement, AgentControl } from '../../common/protocol/Control.js';
+
+/** What a fake agent does with an attempt. */
+export type Behaviour =
+  | {
+      readonly kind: 'run';
+      readonly output: unknown;
+      readonly chunks?: readonly string[];
+      readonly delayMs?: number;
+      /** Time before the attempt is handed over; it can be voided until then. */
+      readonly waitMs?: number;
+    }
+  | { readonly kind: 'refuse'; readonly reason: RefusalReason; readonly claim?: Claim }
+  | { readonly kind: 'fail'; readonly outcome: 'ran' | 'unknown' };
+
+/** Frame types with the fields that every frame has left out. */
+type Part<F = Frame> = F extends Frame
+  ? Omit<F, 'attemptId' | 'incarnation' | 'notice' | 'load'>
+  : never;
+
+interface Held {
+  readonly attempt: Attempt;
+  state: AttemptStatus['state'];
+  readonly chunks: string[];
+  final: Part | null;
+  readonly listeners: Set<() => void>;
+}
+
+/** Writes one line of a stream; may change it, write it twice, or break the connection. */
+export type LineWriter = (line: string, response: ServerResponse, type: Frame['type']) => void;
+
+const writePlainly: LineWriter = (line, response) => {
+  response.write(line);
+};
+
+/** Agent without a backend server, for tests and measurements of the entry. */
+export class FakeAgent {
+  /** Attempts that were handed over, in order. */
+  readonly runs: Attempt[] = [];
+
+  /** Attempts received, re-sent ones included. */
+  readonly received: Attempt[] = [];
+
+  readonly acknowledged: Acknowledgement[] = [];
+
+  readonly cancelled: string[] = [];
+
+  incarnation = 'first';
+
+  draining = false;
+
+  waitMs = 0;
+
+  writeLine: LineWriter = writePlainly;
+
+  private readonly held = new Map<string, Held>();
+
+  private readonly server: Server;
+
+  private readonly router = createAgentRouter(this.createControl());
+
+  /**
+   * @param id - id in the membership list
+   * @param behave - decides what happens to a new attempt
+   */
+  constructor(
+    readonly id: string,
+    public behave: (attempt: Attempt) => Behaviour,
+  ) {
+    this.server = createServer((request, response) => {
+      this.handle(request, response).catch(() => response.destroy());
+    });
+  }
+
+  get address(): string {
+    return `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
+  }
+
+  async listen(port = 0): Promise<void> {
+    await new Promise<void>((resolve) => {
+      this.server.listen(port, '127.0.0.1', resolve);
+    });
+  }
+
+  async close(): Promise<void> {
+    this.server.closeAllConnections();
+    await new Promise((resolve) => {
+      this.server.close(resolve);
+    });
+  }
+
+  /** Forgets everything, as a restart of the process does. */
+  restart(incarnation: string): void {
+    this.incarnation = incarnation;
+    this.held.clear();
+    this.server.closeAllConnections();
+  }
+
+  private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    if (request.url !== ATTEMPT_PATH) {
+      await nodeHTTPRequestHandler({
+        router: this.router,
+        req: request,
+        res: response,
+        path: (request.url ?? '').replace(/^\/trpc\//, '').split('?')[0]!,
+        createContext: () => ({}),
+      });
+      return;
+    }
+    let body = '';
+    for await (const part of request) body += String(part);
+    const attempt = JSON.parse(body) as Attempt;
+    this.received.push(attempt);
+    this.stream(this.take(attempt), attempt.resumeFrom, response);
+  }
+
+  private take(attempt: Attempt): Held {
+    const known = this.held.get(attempt.attemptId);
+    if (known) return known;
+    const held: Held = {
+      attempt,
+      state: 'waiting',
+      chunks: [],
+      final: null,
+      listeners: new Set(),
+    };
+    this.held.set(attempt.attemptId, held);
+    this.begin(held);
+    return held;
+  }
+
+  private begin(held: Held): void {
+    const behaviour = this.behave(held.attempt);
+    if (behaviour.kind === 'refuse') {
+      const { reason, claim } = behaviour;
+      this.finish(held, 'voided', { type: 'refused', reason, claim, message: reason });
+    } else if (behaviour.kind === 'fail') {
+      this.runs.push(held.attempt);
+      const { outcome } = behaviour;
+      const usage = { acceleratorMs: 1, tokensIn: 0, tokensOut: 0, calls: 1 };
+      this.finish(held, 'failed', { type: 'failed', outcome, usage, message: 'backend error' });
+    } else {
+      after(behaviour.waitMs, () => this.execute(held, behaviour));
+    }
+  }
+
+  private execute(held: Held, behaviour: Extract<Behaviour, { kind: 'run' }>): void {
+    if (held.state !== 'waiting') return;
+    Object.assign(held, { state: 'running' });
+    this.runs.push(held.attempt);
+    held.chunks.push(...(behaviour.chunks ?? []));
+    held.listeners.forEach((listener) => listener());
+    after(behaviour.delayMs, () => {
+      if (held.state === 'running') this.finish(held, 'finished', resultOf(held, behaviour));
+    });
+  }
+
+  private finish(held: Held, state: Held['state'], final: Part): void {
+    Object.assign(held, { state, final });
+    held.listeners.forEach((listener) => listener());
+  }
+
+  private stream(held: Held, resumeFrom: number, response: ServerResponse): void {
+    let next = resumeFrom;
+    const send = (part: Part) => {
+      if (!response.destroyed && !response.writableEnded) {
+        this.writeLine(`${JSON.stringify(this.complete(held, part))}\n`, response, part.type);
+      }
+    };
+    response.writeHead(200, { 'content-type': 'application/x-ndjson' });
+    send({ type: 'accepted' });
+    const heartbeat = setInterval(() => send({ type: 'heartbeat' }), HEARTBEAT_INTERVAL_MS);
+    const advance = () => {
+      for (; next < held.chunks.length; next += 1) {
+        send({ type: 'chunk', offset: next, text: held.chunks[next]!, tokens: 1 });
+      }
+      if (!held.final) return;
+      send(held.final);
+      response.end();
+    };
+    held.listeners.add(advance);
+    response.on('close', () => {
+      clearInterval(heartbeat);
+      held.listeners.delete(advance);
+    });
+    advance();
+  }
+
+  private complete(held: Held, part: Part): Frame {
+    return {
+      ...part,
+      attemptId: held.attempt.attemptId,
+      incarnation: this.incarnation,
+      notice: { revision: 1, confirmedAgeMs: 0 },
+      load: { slots: 4, running: 0, waiting: 0, waitMs: this.waitMs, draining: this.draining },
+    };
+  }
+
+  private statusOf(attemptId: string): AttemptStatus {
+    const state = this.held.get(attemptId)?.state ?? 'unknown';
+    return { incarnation: this.incarnation, state };
+  }
+
+  private voidWaiting(attemptId: string): AttemptStatus {
+    const held = this.held.get(attemptId);
+    if (!held) return { incarnation: this.incarnation, state: 'voided' };
+    if (held.state === 'waiting') {
+      this.finish(held, 'voided', { type: 'refused', reason: 'voided', message: 'voided' });
+    }
+    return this.statusOf(attemptId);
+  }
+
+  private createControl(): AgentControl {
+    const unused = () => Promise.reject(new Error('not used by the entry'));
+    const notice = { revision: 1, confirmedAgeMs: 0 };
+    return {
+      configuration: { since: async () => ({ changes: [], notice }), notify: async () => notice },
+      status: async (attemptId) => this.statusOf(attemptId),
+      voidAttempt: async (attemptId) => this.voidWaiting(attemptId),
+      cancel: async (attemptId) => {
+        this.cancelled.push(attemptId);
+        return this.voidWaiting(attemptId);
+      },
+      acknowledge: async (attempts) => {
+        this.acknowledged.push(...attempts);
+      },
+      drain: unused,
+      resume: unused,
+      serverStatus: unused,
+    };
+  }
+}
+
+function after(delayMs: number | undefined, action: () => void): void {
+  if (delayMs) setTimeout(action, delayMs);
+  else action();
+}
+
+function resultOf(held: Held, behaviour: Extract<Behaviour, { kind: 'run' }>): Part {
+  const output = JSON.stringify(behaviour.output);
+  const { requestId, account, stage } = held.attempt;
+  return {
+    type: 'result',
+    requestId,
+    account,
+    stage,
+    output,
+    length: Buffer.byteLength(output),
+    digest: sha256(output),
+    chunks: held.chunks.length,
+    usage: { acceleratorMs: 1, tokensIn: 0, tokensOut: held.chunks.length, calls: 1 },
+    queueMs: 0,
+    serviceMs: behaviour.delayMs ?? 0,
+    replayed: false,
+  };
+}
--- /dev/null
+++ b/src/entry/testing/fixtures.ts
@@ -0,0 +1,174 @@
+/** Builds entries with fake surroundings for tests and measurements. */
+import { sha256 } from '../../common/Digest.js';
+import { Emitter } from '../../common/events/Emitter.js';
+import {
+  Account,
+  Template,
+  type ConfigurationSnapshot,
+} from '../../common/protocol/Configuration.js';
+import type { LedgerEntry } from '../../common/protocol/Ledger.js';
+import type { Instance } from '../../common/protocol/Membership.js';
+import { SeededRandom } from '../../common/time/SeededRandom.js';
+import type { ConfigurationSource } from '../../follower/Types.js';
+import { SystemClock } from '../../platform/SystemClock.js';
+import { FakeTableStore } from '../../platform/testing/FakeTableStore.js';
+import { createLogger } from '../../telemetry/Logger.js';
+import { createMetrics } from '../../telemetry/Metrics.js';
+import { createTracing } from '../../telemetry/Tracing.js';
+import { Entry } from '../Entry.js';
+import { EntrySettings, type PolicySettings } from '../EntrySettings.js';
+import type { FakeAgent } from './FakeAgent.js';
+
+export const TOKEN = 'token-of-alba';
+const INTERNAL_TOKEN = 'internal-token-of-tests';
+
+/** A template in short form: stages may leave out defaults. */
+export type TemplateInput = Parameters<(typeof Template)['parse']>[0];
+
+/** What a test entry is made of. */
+export interface TestEntryOptions {
+  readonly agents: readonly FakeAgent[];
+  readonly templates: readonly unknown[];
+  readonly policy?: Partial<PolicySettings>;
+  /** Deadline of every template, in ms. */
+  readonly deadlineMs?: number;
+  readonly table?: FakeTableStore;
+  readonly id?: string;
+  /** Pool of an agent; `pool` for all by default. */
+  readonly poolOf?: (agent: FakeAgent) => string;
+}
+
+/** A running entry and what it recorded. */
+export interface TestEntry {
+  readonly entry: Entry;
+  readonly url: string;
+  readonly ledger: LedgerEntry[];
+  readonly table: FakeTableStore;
+  stop(): Promise<void>;
+}
+
+/**
+ * Makes a configuration of one client account that may use all templates.
+ * @param templates - templates in short form
+ * @param deadlineMs - deadline of each, in ms
+ * @returns a snapshot at revision 1
+ */
+export function createSnapshot(
+  templates: readonly unknown[],
+  deadlineMs: number,
+): ConfigurationSnapshot {
+  const parsed = templates.map((template) => Template.parse(template));
+  const account = Account.parse({
+    id: 'alba',
+    tokenDigest: sha256(TOKEN),
+    templates: Object.fromEntries(parsed.map(({ name }) => [name, { deadlineMs }])),
+  });
+  return {
+    revision: 1,
+    templates: new Map(parsed.map((template) => [template.name, template])),
+    accounts: new Map([[account.id, account]]),
+    accountsByToken: new Map([[account.tokenDigest, account]]),
+    servers: new Map(),
+  };
+}
+
+/**
+ * Starts an entry on a free port.
+ * @param options - agents and templates
+ * @returns the entry, ready to serve
+ */
+export async function startEntry(options: TestEntryOptions): Promise<TestEntry> {
+  const ledger: LedgerEntry[] = [];
+  const table = options.table ?? new FakeTableStore();
+  const instances = options.agents.map((agent): Instance => ({
+    id: agent.id,
+    role: 'agent',
+    address: agent.address,
+    failureDomain: 'north',
+    region: 'default',
+    pool: options.poolOf?.(agent) ?? 'pool',
+    state: 'live',
+  }));
+  const entry = new Entry({
+    settings: createSettings(options),
+    clock: new SystemClock(),
+    random: new SeededRandom(1),
+    configuration: createSource(createSnapshot(options.templates, options.deadlineMs ?? 5000)),
+    membership: { list: async () => ({ ok: true, value: instances }) },
+    table,
+    objects: {
+      put: async () => ({ ok: true, value: undefined }),
+      get: async () => ({ ok: true, value: null }),
+    },
+    ledger: {
+      record: (row) => ledger.push(row),
+      flush: async () => undefined,
+      dispose: () => undefined,
+    },
+    logger: createLogger('test', 'error'),
+    metrics: createMetrics(),
+    tracing: createTracing('test', { sampleRatio: 1 }),
+    operators: () => async () => false,
+  });
+  const url = `http://${await entry.start()}`;
+  const stop = async () => {
+    await entry.stop();
+  };
+  return { entry, url, ledger, table, stop };
+}
+
+/**
+ * Sends a request to an entry.
+ * @param url - base URL of the entry
+ * @param template - template name
+ * @param input - caller's input
+ * @param headers - further headers
+ * @returns status and parsed body
+ */
+export async function post(
+  url: string,
+  template: string,
+  input: unknown,
+  headers: Record<string, string> = {},
+): Promise<{ status: number; body: Record<string, unknown> }> {
+  const response = await fetch(`${url}/v1/pipelines/${template}/requests`, {
+    method: 'POST',
+    headers: { authorization: `Bearer ${TOKEN}`, ...headers },
+    body: typeof input === 'string' ? input : JSON.stringify({ input }),
+  });
+  return { status: response.status, body: (await response.json()) as Record<string, unknown> };
+}
+
+/** @returns error part of an error body. */
+export function errorOf(body: Record<string, unknown>): { kind: string; outcome: string } {
+  return body.error as { kind: string; outcome: string };
+}
+
+function createSettings(options: TestEntryOptions): EntrySettings {
+  const unused = 'http://127.0.0.1:9';
+  return EntrySettings.parse({
+    id: options.id ?? 'entry-1',
+    address: '127.0.0.1:0',
+    failureDomain: 'north',
+    platform: { tableUrl: unused, objectUrl: unused, membershipUrl: unused },
+    internalToken: INTERNAL_TOKEN,
+    policy: options.policy ?? {},
+    shutdown: { balancerDelayMs: 0, deadlineMs: 3000 },
+  });
+}
+
+function createSource(snapshot: ConfigurationSnapshot): ConfigurationSource {
+  const notice = { revision: snapshot.revision, confirmedAgeMs: 0 };
+  return {
+    snapshot: () => snapshot,
+    notice: () => notice,
+    refresh: async () => undefined,
+    ready: true,
+    onChange: new Emitter<ConfigurationSnapshot>().event,
+    hear: () => undefined,
+    newerKnownForMs: () => 0,
+    since: async () => ({ changes: [], notice }),
+    notify: async () => notice,
+    dispose: () => undefined,
+  };
+}
