--- a/src/entry/RequestActor.ts
+++ b/src/entry/RequestActor.ts
@@ -121,8 +121,12 @@
   }
 }
 
-/** A stage that did not run still leaves a request of which earlier stages ran. */
+/**
+ * A stage that did not run still leaves a request of which earlier stages ran, and an input that
+ * was made from their outputs is no mistake of the caller.
+ */
 function withEarlierStages(failure: Failure, finishedStages: number): Failure {
-  if (failure.outcome !== 'not-run' || finishedStages === 0) return failure;
-  return { ...failure, outcome: 'ran' };
+  if (finishedStages === 0) return failure;
+  const kind = failure.kind === 'bad-request' ? 'stage-failed' : failure.kind;
+  return { ...failure, kind, outcome: failure.outcome === 'not-run' ? 'ran' : failure.outcome };
 }
--- a/src/entry/StageRun.ts
+++ b/src/entry/StageRun.ts
@@ -234,7 +234,6 @@
     const reason = this.task.context.signal.reason as AbandonReason;
     const { name } = this.task.stage;
     if (reason === 'caller-gone') {
-      for (const attempt of this.attempts) if (attempt.fate === 'unclear') attempt.cancel();
       return this.fail('cancelled', `the caller disconnected during stage "${name}"`);
     }
     return this.fail('deadline-exceeded', `the deadline passed during stage "${name}"`);
@@ -262,6 +261,11 @@
 
   private async settleOutcome(): Promise<Outcome> {
     const fates = await Promise.all(this.attempts.map((attempt) => attempt.voidIfWaiting()));
+    if (this.task.stage.idempotent) {
+      this.attempts
+        .filter(({ fate }) => fate === 'unclear' || fate === 'finished')
+        .forEach((attempt) => attempt.cancel());
+    }
     if (fates.every((fate) => fate === 'not-run')) return 'not-run';
     const finished = fates.every((fate) => fate === 'not-run' || fate === 'finished');
     return this.task.stage.idempotent || finished ? 'ran' : 'unknown';
--- a/src/entry/testing/fixtures.ts
+++ b/src/entry/testing/fixtures.ts
@@ -44,6 +44,7 @@
   readonly url: string;
   readonly ledger: LedgerEntry[];
   readonly table: FakeTableStore;
+  readonly configuration: ConfigurationSource;
   stop(): Promise<void>;
 }
 
@@ -80,6 +81,7 @@
 export async function startEntry(options: TestEntryOptions): Promise<TestEntry> {
   const ledger: LedgerEntry[] = [];
   const table = options.table ?? new FakeTableStore();
+  const configuration = createSource(createSnapshot(options.templates, options.deadlineMs ?? 5000));
   const instances = options.agents.map((agent): Instance => ({
     id: agent.id,
     role: 'agent',
@@ -93,7 +95,7 @@
     settings: createSettings(options),
     clock: new SystemClock(),
     random: new SeededRandom(1),
-    configuration: createSource(createSnapshot(options.templates, options.deadlineMs ?? 5000)),
+    configuration,
     membership: { list: async () => ({ ok: true, value: instances }) },
     table,
     objects: {
@@ -114,7 +116,7 @@
   const stop = async () => {
     await entry.stop();
   };
-  return { entry, url, ledger, table, stop };
+  return { entry, url, ledger, table, configuration, stop };
 }
 
 /**
