Wait for idle connections in the silent-connection test

Cause: the test failed about 1 time in 3; responses that end in the same tick leave all four connections busy, so the next call opened a fifth one that was not silent. Ruled out: a fault of the client; it is meant to open a new connection. The check is the same.

--- a/src/platform/HttpTableStore.test.ts
+++ b/src/platform/HttpTableStore.test.ts
@@ -2,6 +2,7 @@
 import { createServer, type RequestListener, type Server } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { after, test } from 'node:test';
+import { setTimeout as sleep } from 'node:timers/promises';
 import { HttpTableStore } from './HttpTableStore.js';
 
 const OPTIONS = { timeoutMs: 150 };
@@ -75,6 +76,8 @@
   });
   await Promise.all([1, 2, 3, 4].map(() => store.transaction(WRITE, OPTIONS)));
   assert.equal(openSockets.size, 4);
+  // Responses that end in the same tick leave all four connections busy, and the pool would open a fifth.
+  await sleep(50);
   silentSockets = new Set(openSockets);
   const timedOut = await store.transaction(WRITE, OPTIONS);
   assert.equal(!timedOut.ok && timedOut.error.kind, 'ambiguous');
