Add stand-ins of platform services and backend servers

Cause: entry, agent, load and tests need services that speak the published protocols and can fail on request.

All services share control paths for faults, counters, runs and silent connections. The protocol module Backend.ts gets schemas for cache events; no existing schema changes.

The test of silent connections assumed that undici reuses an idle connection for the very next call, which it does not always do; it failed once in a full run. The test server now also makes a connection opened in the silent phase silent, which is as strict and does not depend on that.

--- a/src/common/protocol/Backend.ts
+++ b/src/common/protocol/Backend.ts
@@ -94,3 +94,15 @@
 /** Answer of `GET /v1/orders`: the state in force and the highest fencing number seen. */
 export const OrderState = z.object({ applied: Order.nullable(), highestFencing: z.number().int() });
 export type OrderState = z.infer<typeof OrderState>;
+
+/** Change of a prompt prefix cache. `block` is a hash of a prompt prefix up to the end of a block. */
+export const CacheEvent = z.object({
+  sequence: z.number().int().positive(),
+  type: z.enum(['stored', 'evicted']),
+  block: z.number().int().nonnegative(),
+});
+export type CacheEvent = z.infer<typeof CacheEvent>;
+
+/** Answer of `GET /v1/cache-events?after=N`: late, and with gaps in the sequence. */
+export const CacheEventList = z.object({ events: z.array(CacheEvent) });
+export type CacheEventList = z.infer<typeof CacheEventList>;
--- a/src/platform/HttpTableStore.test.ts
+++ b/src/platform/HttpTableStore.test.ts
@@ -67,17 +67,20 @@
 test('calls after a time-out use new connections, so that silent ones block nothing', async () => {
   const current = { table: 't', key: 'k', version: 3, value: 'x' };
   const openSockets = new Set<unknown>();
-  let silentSockets = new Set<unknown>();
+  const silentSockets = new Set<unknown>();
+  let isSilent = false;
   const store = await storeFor((request, response) => {
     openSockets.add(request.socket);
+    if (isSilent) openSockets.forEach((socket) => silentSockets.add(socket));
     if (silentSockets.has(request.socket)) return;
     setTimeout(() => response.writeHead(409).end(JSON.stringify({ current })), 20);
   });
   await Promise.all([1, 2, 3, 4].map(() => store.transaction(WRITE, OPTIONS)));
   assert.equal(openSockets.size, 4);
-  silentSockets = new Set(openSockets);
+  isSilent = true;
   const timedOut = await store.transaction(WRITE, OPTIONS);
   assert.equal(!timedOut.ok && timedOut.error.kind, 'ambiguous');
+  isSilent = false;
   const result = await store.transaction(WRITE, OPTIONS);
   assert.deepEqual(result, { ok: false, error: { kind: 'conflict', current } });
 });
--- /dev/null
+++ b/src/standin/http/ConnectionSet.ts
@@ -0,0 +1,55 @@
+import type { Server } from 'node:http';
+import type { Socket } from 'node:net';
+
+/** Open connections of a server, which can be made silent. */
+export class ConnectionSet {
+  private readonly open = new Set<Socket>();
+
+  private readonly silent = new WeakSet<Socket>();
+
+  /** @param server - server whose connections are tracked */
+  constructor(server: Server) {
+    server.on('connection', (socket: Socket) => {
+      this.open.add(socket);
+      socket.once('close', () => this.open.delete(socket));
+    });
+  }
+
+  /**
+   * @param socket - a connection
+   * @returns true if the connection was made silent
+   */
+  isSilent(socket: Socket): boolean {
+    return this.silent.has(socket);
+  }
+
+  /**
+   * Stops reading from and writing to all open connections without closing them, as if the network
+   * dropped their packets. Connections opened later are not affected.
+   * @param except - connection that stays in use
+   * @returns number of connections made silent
+   */
+  silenceAll(except: Socket): number {
+    const affected = [...this.open].filter(
+      (socket) => socket !== except && !this.silent.has(socket),
+    );
+    affected.forEach((socket) => this.silence(socket));
+    return affected.length;
+  }
+
+  /** Closes all connections. */
+  destroyAll(): void {
+    this.open.forEach((socket) => socket.destroy());
+  }
+
+  private silence(socket: Socket): void {
+    this.silent.add(socket);
+    socket.pause();
+    // Node's HTTP server ends or destroys a connection through these methods.
+    Object.assign(socket, {
+      write: () => true,
+      end: () => socket,
+      destroySoon: () => undefined,
+    });
+  }
+}
--- /dev/null
+++ b/src/standin/http/ServiceServer.ts
@@ -0,0 +1,217 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { text } from 'node:stream/consumers';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { z } from 'zod';
+import type { FaultState } from '../FaultState.js';
+import type { Answer, Route, Service } from '../Types.js';
+import { BadRequest } from './BadRequest.js';
+import { Call, type ResponseFault } from './Call.js';
+import { ConnectionSet } from './ConnectionSet.js';
+
+const NO_RESPONSE_FAULT: ResponseFault = { isLost: false, isTruncated: false };
+const CONTROL_PREFIX = '/control/';
+
+/** HTTP server of one stand-in service: applies faults, serves the control paths, counts calls. */
+export class ServiceServer {
+  private readonly server: Server;
+
+  private readonly connections: ConnectionSet;
+
+  private readonly callCounts: Record<string, number> = {};
+
+  private readonly faultCounts: Record<string, number> = {};
+
+  private readonly controlRoutes: Readonly<Record<string, Route>>;
+
+  /**
+   * @param service - what the server serves
+   * @param state - faults of the service
+   */
+  constructor(
+    private readonly service: Service,
+    private readonly state: FaultState,
+  ) {
+    // No time-outs: a hung call must stay open until the client gives up.
+    this.server = createServer({ requestTimeout: 0, headersTimeout: 0, keepAliveTimeout: 0 });
+    this.server.on('request', (request, response) => {
+      this.receive(request, response).catch((error: unknown) => sendError(response, error));
+    });
+    this.connections = new ConnectionSet(this.server);
+    this.controlRoutes = { ...this.createControlRoutes(), ...service.controlRoutes };
+  }
+
+  /**
+   * Starts listening.
+   * @param host - IP address
+   * @param port - port; 0 lets the system choose
+   * @returns `ip:port` in use
+   */
+  async listen(host: string, port: number): Promise<string> {
+    await new Promise<void>((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(port, host, () => resolve());
+    });
+    const address = this.server.address() as AddressInfo;
+    return address.family === 'IPv6'
+      ? `[${address.address}]:${address.port}`
+      : `${address.address}:${address.port}`;
+  }
+
+  /** Stops the service and closes all connections. */
+  async close(): Promise<void> {
+    this.service.dispose();
+    const closed = new Promise((resolve) => {
+      this.server.close(resolve);
+    });
+    this.connections.destroyAll();
+    await closed;
+  }
+
+  private async receive(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const { socket } = request;
+    if (this.connections.isSilent(socket)) return;
+    const method = request.method ?? 'GET';
+    const url = new URL(request.url ?? '/', 'http://standin');
+    const path = url.pathname;
+    const isControl = path.startsWith(CONTROL_PREFIX);
+    const route = isControl
+      ? this.controlRoutes[`${method} ${path}`]
+      : this.service.route(method, path);
+    const body = await text(request);
+    if (!route) {
+      send(response, { status: 404, body: { error: `no route for ${method} ${path}` } });
+      return;
+    }
+    const createCall = (responseFault: ResponseFault): Call =>
+      new Call(request, response, {
+        path,
+        query: url.searchParams,
+        body,
+        responseFault,
+        isSilent: () => this.connections.isSilent(socket),
+      });
+    if (isControl) {
+      await this.run(createCall(NO_RESPONSE_FAULT), route);
+      return;
+    }
+    count(this.callCounts, `${method} ${path.split('/').slice(0, 3).join('/')}`);
+    if (this.failsBefore(response)) return;
+    const call = createCall(this.chooseResponseFault(route));
+    const { delayMs } = this.state.faults;
+    if (delayMs > 0) await sleep(delayMs);
+    await this.run(call, route);
+  }
+
+  private async run(call: Call, route: Route): Promise<void> {
+    const answer = await route.handle(call);
+    if (!answer) return;
+    if (call.responseFault.isLost) call.destroy();
+    else if (call.responseFault.isTruncated) sendHalf(call, answer);
+    else send(call.response, answer);
+  }
+
+  /** Applies the faults that keep a call from having any effect. */
+  private failsBefore(response: ServerResponse): boolean {
+    const { faults } = this.state;
+    if (faults.hang) {
+      count(this.faultCounts, 'hung');
+      return true;
+    }
+    if (faults.outage) {
+      count(this.faultCounts, 'outage');
+      send(response, { status: 503, body: { error: 'outage' } });
+      return true;
+    }
+    if (this.state.chance(faults.lostRequestShare)) {
+      count(this.faultCounts, 'lostRequest');
+      response.socket?.destroy();
+      return true;
+    }
+    if (this.state.chance(faults.errorShare)) {
+      count(this.faultCounts, 'error');
+      send(response, { status: 500, body: { error: 'injected error' } });
+      return true;
+    }
+    return false;
+  }
+
+  private chooseResponseFault(route: Route): ResponseFault {
+    const { faults } = this.state;
+    const isLost = route.hasEffect && this.state.chance(faults.lostAnswerShare);
+    const isTruncated = !isLost && this.state.chance(faults.truncatedShare);
+    if (isLost) count(this.faultCounts, 'lostAnswer');
+    if (isTruncated) count(this.faultCounts, 'truncated');
+    return { isLost, isTruncated };
+  }
+
+  private createControlRoutes(): Record<string, Route> {
+    const query = (read: () => unknown): Route => ({
+      hasEffect: false,
+      handle: () => ({ status: 200, body: read() }),
+    });
+    return {
+      'GET /control/faults': query(() => this.state.faults),
+      'GET /control/runs': query(() => this.service.runs()),
+      'GET /control/counters': query(() => ({
+        calls: this.callCounts,
+        faults: this.faultCounts,
+        ...this.service.counters(),
+      })),
+      'PUT /control/faults': {
+        hasEffect: false,
+        handle: (call) => {
+          const merged = this.state.merge(call.parse(z.record(z.string(), z.unknown())));
+          return merged.ok
+            ? { status: 200, body: merged.faults }
+            : { status: 400, body: { error: merged.message } };
+        },
+      },
+      'POST /control/silence': {
+        hasEffect: false,
+        handle: (call) => {
+          const { socket } = call.response;
+          const silenced = socket ? this.connections.silenceAll(socket) : 0;
+          return { status: 200, body: { silenced } };
+        },
+      },
+    };
+  }
+}
+
+function count(counts: Record<string, number>, name: string): void {
+  Object.assign(counts, { [name]: (counts[name] ?? 0) + 1 });
+}
+
+function encode(answer: Answer): { bytes: Buffer; headers: Record<string, string | number> } {
+  const isText = typeof answer.body === 'string';
+  const bytes = Buffer.from(isText ? String(answer.body) : JSON.stringify(answer.body));
+  return {
+    bytes,
+    headers: {
+      'content-type': isText ? 'text/plain' : 'application/json',
+      'content-length': bytes.length,
+      ...answer.headers,
+    },
+  };
+}
+
+function send(response: ServerResponse, answer: Answer): void {
+  const { bytes, headers } = encode(answer);
+  response.writeHead(answer.status, headers).end(bytes);
+}
+
+function sendHalf(call: Call, answer: Answer): void {
+  const { bytes, headers } = encode(answer);
+  call.response.writeHead(answer.status, headers);
+  call.response.write(bytes.subarray(0, Math.floor(bytes.length / 2)), () => call.destroy());
+}
+
+function sendError(response: ServerResponse, error: unknown): void {
+  if (response.headersSent || response.destroyed) {
+    response.destroy();
+    return;
+  }
+  const message = error instanceof Error ? error.message : String(error);
+  send(response, { status: error instanceof BadRequest ? 400 : 500, body: { error: message } });
+}
