Add operator API and citronstage command line

Operators need to publish, change and retire templates and accounts, drain servers, and see status and explanations.

A drain is sent to the agent and recorded at the same time; if one of the two fails the answer says which. The membership list does not name backend servers, so the agents are asked which one stands beside the server, the agent with the same id first. Recording a drain is repeated after a lost race against changes of other subjects. Clients repeat calls that got no answer: the change id makes sure that no second change is made.

--- /dev/null
+++ b/src/cli/Cli.test.ts
@@ -0,0 +1,123 @@
+import assert from 'node:assert/strict';
+import { mkdtemp, rm, writeFile } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { after, before, beforeEach, test } from 'node:test';
+import {
+  createOperatorFixture,
+  OPERATOR_TOKEN,
+  type OperatorFixture,
+} from '../entry/operator/testing/OperatorFixture.js';
+import { runCli } from './Cli.js';
+
+const TEMPLATE = `{
+  // Two stages.
+  "name": "plan",
+  "stages": [
+    { "name": "find", "kind": "retrieve", "pool": "archive", "input": { "vector": "$request.vector" } },
+    { "name": "draft", "kind": "generate", "pool": "engines", "model": "m1",
+      "input": { "prompt": "$request.text", "documents": "$find.documents" } },
+  ],
+}`;
+
+let directory: string;
+let fixture: OperatorFixture;
+before(async () => {
+  directory = await mkdtemp(join(tmpdir(), 'citronstage-cli-'));
+});
+after(async () => {
+  await fixture.stop();
+  await rm(directory, { recursive: true });
+});
+beforeEach(async () => {
+  await fixture?.stop();
+  fixture = await createOperatorFixture();
+});
+
+const file = async (name: string, text: string): Promise<string> => {
+  const path = join(directory, name);
+  await writeFile(path, text);
+  return path;
+};
+
+const run = async (...words: string[]) => {
+  const out: string[] = [];
+  const err: string[] = [];
+  const code = await runCli([...words, '--entry', fixture.url], '0.0.0', {
+    out: (line) => out.push(line),
+    err: (line) => err.push(line),
+    environment: { CITRONSTAGE_TOKEN: OPERATOR_TOKEN },
+  });
+  return { code, out: out.join('\n'), err: err.join('\n') };
+};
+
+test('a lost race exits with 1 and names the other change, so that it is not overwritten', async () => {
+  const path = await file('plan.jsonc', TEMPLATE);
+  assert.deepEqual(await run('template', 'publish', path), {
+    code: 0,
+    out: 'revision 1 published',
+    err: '',
+  });
+  const lost = await run('template', 'change', path, '--expected-revision', '0');
+  assert.equal(lost.code, 1);
+  assert.match(lost.err, /conflict: revision 1 was made first by ann at .*: template "plan"/);
+  assert.match((await run('template', 'list')).out, /plan\s+find > draft/);
+});
+
+test('publishing a name that exists is refused, so that it is not changed by mistake', async () => {
+  const path = await file('plan.jsonc', TEMPLATE);
+  await run('template', 'publish', path);
+  const again = await run('template', 'publish', path);
+  assert.equal(again.code, 2);
+  assert.match(again.err, /published already/);
+});
+
+test('errors found by the schema, in field names and by the entry name file, line and field', async () => {
+  const wrong = await file('wrong.jsonc', TEMPLATE.replace('"generate"', '"guess"'));
+  assert.match((await run('template', 'publish', wrong)).err, /wrong\.jsonc:6: stages\.1\.kind: /);
+  const misspelt = await file('misspelt.jsonc', TEMPLATE.replace('"model"', '"modle"'));
+  const unknown = await run('template', 'publish', misspelt);
+  assert.equal(unknown.code, 2);
+  assert.match(unknown.err, /misspelt\.jsonc:6: stages\.1\.modle: unknown field/);
+  const dangling = await file('dangling.jsonc', TEMPLATE.replace('$find.', '$fnd.'));
+  const refused = await run('template', 'publish', dangling);
+  assert.equal(refused.code, 1);
+  assert.match(refused.err, /dangling\.jsonc:7: stages\.1\.input\.documents: .*earlier stage/);
+});
+
+test('a drain reaches the agent even while the store is down, and says what is missing', async () => {
+  fixture.store.chooseFault = () => 'unavailable';
+  const partial = await run('server', 'drain', 'engine-1');
+  assert.equal(partial.code, 0);
+  assert.match(partial.out, /agent of engine-1: draining, 2 running\nconfiguration not changed: /);
+  assert.equal(fixture.agentDraining(), true);
+  fixture.store.chooseFault = () => undefined;
+  await run('server', 'drain', 'engine-1');
+  assert.match((await run('server', 'list')).out, /engine-1\s+draining/);
+  await run('server', 'resume', 'engine-1');
+  assert.equal(fixture.agentDraining(), false);
+  assert.match((await run('server', 'list')).out, /engine-1\s+in use/);
+});
+
+test('status lists a process that does not answer, so that it is not taken for absent', async () => {
+  assert.match((await run('status')).out, /agent\s+agent-1.*engine-1 in engines: 2\/4 running/);
+  await fixture.stopAgent();
+  assert.match((await run('status')).out, /agent\s+agent-1.*no answer/);
+});
+
+test('a request is explained; one that no entry knows exits with 1', async () => {
+  assert.match((await run('explain', 'entry-1-7')).out, /draft\s+route\s+least loaded of two/);
+  const unknown = await run('explain', 'entry-1-8', '--json');
+  assert.equal(unknown.code, 1);
+  assert.equal(JSON.parse(unknown.out).error.kind, 'not-found');
+});
+
+test('a wrong token changes nothing; wrong arguments exit with 2', async () => {
+  const tokenFile = await file('token', 'other\n');
+  const refused = await run('server', 'add', 'engine-9', '--token-file', tokenFile);
+  assert.equal(refused.code, 1);
+  assert.match(refused.err, /^unauthenticated: /);
+  assert.match((await run('revision')).out, /^0 /);
+  assert.equal((await run('template', 'publish')).code, 2);
+  assert.equal((await run('nonsense')).code, 2);
+});
--- /dev/null
+++ b/src/cli/Cli.ts
@@ -0,0 +1,147 @@
+/** Command line of `citronstage`: arguments, settings, exit codes. */
+import { readFileSync } from 'node:fs';
+import yargs, { type Argv } from 'yargs';
+import { describeProblem, readSettings } from '../settings/SettingsFile.js';
+import { CliSettings } from './CliSettings.js';
+import { addCommands, type Task } from './CommandTable.js';
+import { OperatorClient } from './OperatorClient.js';
+import {
+  EXIT_CODE,
+  usageError,
+  type CliContext,
+  type CliError,
+  type CliResult,
+  type CliStreams,
+} from './Types.js';
+
+/** Environment variable that holds the operator's token. */
+const TOKEN_VARIABLE = 'CITRONSTAGE_TOKEN';
+
+/** Options that all commands have. */
+interface CommonArguments {
+  readonly config?: string;
+  readonly check?: boolean;
+  readonly entry?: string[];
+  readonly tokenFile?: string;
+  readonly json?: boolean;
+}
+
+/**
+ * Runs one command.
+ * @param words - arguments without those of Node.js
+ * @param version - version to print
+ * @param streams - output and environment
+ * @returns exit code: 0 success, 1 failure, 2 wrong arguments, settings or file
+ */
+export async function runCli(
+  words: readonly string[],
+  version: string,
+  streams: CliStreams,
+): Promise<number> {
+  const parsed = await parse(words, version, streams);
+  if (!parsed.ok) return report(parsed.error, streams, false);
+  if (parsed.value === null) return 0;
+  const { task, common } = parsed.value;
+  const json = common.json ?? false;
+  const context = connect(common, streams);
+  if (!context.ok) return report(context.error, streams, json);
+  if (common.check) {
+    streams.out('settings are valid');
+    return 0;
+  }
+  if (!task) return report(usageError('expected a command; see --help').error, streams, json);
+  const result = await task(context.value);
+  if (!result.ok) return report(result.error, streams, json);
+  for (const line of result.value) streams.out(line);
+  return 0;
+}
+
+type Parsed = { readonly task: Task | null; readonly common: CommonArguments } | null;
+
+/** @returns chosen command; null if help or the version was printed. */
+async function parse(
+  words: readonly string[],
+  version: string,
+  streams: CliStreams,
+): Promise<CliResult<Parsed>> {
+  let task: Task | null = null;
+  let printed = '';
+  let problem: string | null = null;
+  const program = addCommands(commonOptions(yargs()), (chosen) => {
+    task = chosen;
+  });
+  const common = (await program
+    .scriptName('citronstage')
+    .version(version)
+    .help()
+    .strict()
+    .exitProcess(false)
+    .fail((message, error) => {
+      problem ??= message || error?.message || 'wrong arguments';
+    })
+    .parseAsync([...words], {}, (_error, _parsed, output) => {
+      printed = output;
+    })) as CommonArguments;
+  if (problem !== null) return usageError(problem, 'see citronstage --help');
+  if (printed !== '') {
+    streams.out(printed);
+    return { ok: true, value: null };
+  }
+  return { ok: true, value: { task, common } };
+}
+
+function commonOptions(program: Argv): Argv {
+  return program
+    .option('config', { type: 'string', describe: 'Settings file (JSON with comments)' })
+    .option('check', { type: 'boolean', describe: 'Check settings and arguments, then exit' })
+    .option('entry', { type: 'string', array: true, describe: 'Base URL of an entry' })
+    .option('token-file', {
+      type: 'string',
+      describe: `File with the operator's token; else ${TOKEN_VARIABLE} is read`,
+    })
+    .option('json', { type: 'boolean', describe: 'Print JSON' });
+}
+
+function connect(common: CommonArguments, streams: CliStreams): CliResult<CliContext> {
+  const settings =
+    common.config === undefined
+      ? ({ ok: true, value: CliSettings.parse({}) } as const)
+      : readSettings(common.config, CliSettings);
+  if (!settings.ok) return usageError(...settings.problems.map(describeProblem));
+  const entries = common.entry ?? settings.value.entries;
+  if (entries.length === 0) return usageError('expected --entry URL or "entries" in the settings');
+  const wrong = entries.filter((entry) => !URL.canParse(entry));
+  if (wrong.length > 0) return usageError(`--entry: expected a URL, found "${wrong[0]}"`);
+  const token = readToken(common.tokenFile ?? settings.value.tokenFile, streams);
+  if (!token.ok) return token;
+  const { timeoutMs } = settings.value;
+  const connection = new OperatorClient({ entries, token: token.value, timeoutMs });
+  return { ok: true, value: { connection, streams, json: common.json ?? false } };
+}
+
+function readToken(file: string | undefined, streams: CliStreams): CliResult<string> {
+  if (file === undefined) {
+    const token = streams.environment[TOKEN_VARIABLE];
+    if (token) return { ok: true, value: token };
+    return usageError(`expected --token-file or the environment variable ${TOKEN_VARIABLE}`);
+  }
+  try {
+    // One small file, read before anything is started.
+    // eslint-disable-next-line n/no-sync
+    const token = readFileSync(file, 'utf8').trim();
+    return token ? { ok: true, value: token } : usageError(`${file}: the token file is empty`);
+  } catch (error) {
+    return usageError(`${file}: ${error instanceof Error ? error.message : String(error)}`);
+  }
+}
+
+function report(error: CliError, streams: CliStreams, json: boolean): number {
+  if (json) {
+    const body = error.kind === 'refused' ? error.error : error;
+    streams.out(JSON.stringify({ error: body }));
+  }
+  const messages = error.kind === 'unreachable' ? [error.message] : error.messages;
+  const label = error.kind === 'refused' ? error.error.kind : error.kind;
+  for (const message of messages) streams.err(`${label}: ${message}`);
+  return EXIT_CODE[error.kind];
+}
--- a/src/common/protocol/Configuration.ts
+++ b/src/common/protocol/Configuration.ts
@@ -89,7 +89,8 @@
 export const Server = z.object({ id: Name, draining: z.boolean().default(false) });
 export type Server = z.infer<typeof Server>;
 
-const Subject = z.discriminatedUnion('kind', [
+/** What a change publishes, changes or retires. */
+export const ConfigurationSubject = z.discriminatedUnion('kind', [
   z.object({ kind: z.literal('template'), value: Template }),
   z.object({ kind: z.literal('account'), value: Account }),
   z.object({ kind: z.literal('server'), value: Server }),
@@ -106,7 +107,7 @@
   author: z.string().min(1),
   /** Wall-clock milliseconds since 1970-01-01 UTC. */
   at: z.number(),
-  subject: Subject,
+  subject: ConfigurationSubject,
 });
 export type Change = z.infer<typeof Change>;
 export type ChangeSubject = Change['subject'];
--- /dev/null
+++ b/src/entry/operator/OperatorApi.ts
@@ -0,0 +1,129 @@
+/** Operator interface of an entry: authentication, routing and bodies. */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { AgentRouter } from '../../agent/AgentRouter.js';
+import { sha256 } from '../../common/Digest.js';
+import { MAX_REQUEST_BYTES } from '../../common/protocol/CallerRequest.js';
+import { OPERATOR_ERROR_STATUS, OPERATOR_PATH } from '../../common/protocol/Operator.js';
+import { createClients } from '../../follower/ConfigurationClients.js';
+import type { EntryRouter } from '../EntryRouter.js';
+import type { EntrySettings } from '../EntrySettings.js';
+import { publishChange } from './commands/PublishChange.js';
+import { setDraining } from './commands/SetDraining.js';
+import { queryConfiguration } from './queries/ConfigurationQuery.js';
+import { queryExplanation } from './queries/ExplanationQuery.js';
+import { queryStatus } from './queries/StatusQuery.js';
+import {
+  refuse,
+  type OperatorHandler,
+  type OperatorOutcome,
+  type OperatorServices,
+} from './Types.js';
+
+/** Options of {@link createOperatorApi}. */
+export interface OperatorApiOptions extends Omit<OperatorServices, 'agentAt' | 'entryAt'> {
+  /** Operators and the digests of their tokens. */
+  readonly operators: EntrySettings['operators'];
+  readonly internalToken: string;
+}
+
+/** Answers a request if it is one for operators; false if it is not. */
+export type OperatorApi = (request: IncomingMessage, response: ServerResponse) => Promise<boolean>;
+
+interface Route {
+  readonly method: string;
+  /** Path after the prefix; the group is the call's name. */
+  readonly path: RegExp;
+  readonly handle: OperatorHandler;
+}
+
+const ROUTES: readonly Route[] = [
+  { method: 'POST', path: /^changes$/, handle: publishChange },
+  { method: 'POST', path: /^servers\/([^/]+)\/drain$/, handle: setDraining(true) },
+  { method: 'POST', path: /^servers\/([^/]+)\/resume$/, handle: setDraining(false) },
+  { method: 'GET', path: /^configuration$/, handle: queryConfiguration },
+  { method: 'GET', path: /^status$/, handle: queryStatus },
+  { method: 'GET', path: /^requests\/([^/]+)$/, handle: queryExplanation },
+];
+
+/**
+ * Makes the operator interface, to be mounted by the entry under `/v1/operator/`.
+ * @param options - services of the entry, operators, internal token
+ * @returns request handler
+ */
+export function createOperatorApi(options: OperatorApiOptions): OperatorApi {
+  const services: OperatorServices = {
+    ...options,
+    agentAt: createClients<AgentRouter>(options.internalToken),
+    entryAt: createClients<EntryRouter>(options.internalToken),
+  };
+  const operators = new Map(options.operators.map(({ tokenDigest, name }) => [tokenDigest, name]));
+  return async (request, response) => {
+    const url = new URL(request.url ?? '/', 'http://entry');
+    if (!url.pathname.startsWith(OPERATOR_PATH)) return false;
+    const operator = operators.get(sha256(bearerToken(request)));
+    const outcome =
+      operator === undefined
+        ? refuse({ kind: 'unauthenticated', message: 'the operator token is missing or not known' })
+        : await answer(services, operator, request, url);
+    send(response, outcome);
+    return true;
+  };
+}
+
+async function answer(
+  services: OperatorServices,
+  operator: string,
+  request: IncomingMessage,
+  url: URL,
+): Promise<OperatorOutcome> {
+  const path = url.pathname.slice(OPERATOR_PATH.length);
+  const route = ROUTES.find((item) => item.method === request.method && item.path.test(path));
+  if (!route) {
+    return refuse({ kind: 'not-found', message: `no operation ${request.method} ${url.pathname}` });
+  }
+  let name: string;
+  let body: unknown;
+  try {
+    name = decodeURIComponent(route.path.exec(path)?.[1] ?? '');
+    body = await readBody(request);
+  } catch (error) {
+    return refuse({ kind: 'bad-request', message: reasonOf(error) });
+  }
+  try {
+    return await route.handle(services, { operator, name, query: url.searchParams, body });
+  } catch (error) {
+    services.logger.error('operator call failed', { path, reason: reasonOf(error) });
+    return refuse({ kind: 'unavailable', message: 'the call failed inside the entry' });
+  }
+}
+
+function reasonOf(error: unknown): string {
+  return error instanceof Error ? error.message : String(error);
+}
+
+function bearerToken(request: IncomingMessage): string {
+  const [scheme, token] = (request.headers.authorization ?? '').split(' ');
+  return scheme?.toLowerCase() === 'bearer' ? (token ?? '') : '';
+}
+
+async function readBody(request: IncomingMessage): Promise<unknown> {
+  const chunks: Buffer[] = [];
+  let length = 0;
+  // The connection stays open after a body that is too large, so that the error can be sent.
+  const parts = request.iterator({ destroyOnReturn: false }) as AsyncIterable<Buffer>;
+  for await (const chunk of parts) {
+    length += chunk.length;
+    if (length > MAX_REQUEST_BYTES) {
+      throw new RangeError(`the body is larger than ${MAX_REQUEST_BYTES} bytes`);
+    }
+    chunks.push(chunk);
+  }
+  return length === 0 ? null : JSON.parse(Buffer.concat(chunks).toString('utf8'));
+}
+
+function send(response: ServerResponse, outcome: OperatorOutcome): void {
+  const status = outcome.ok ? 200 : OPERATOR_ERROR_STATUS[outcome.error.kind];
+  const text = JSON.stringify(outcome.ok ? outcome.body : { error: outcome.error });
+  response.writeHead(status, { 'content-type': 'application/json' });
+  response.end(`${text}\n`);
+}
--- /dev/null
+++ b/src/entry/operator/commands/SetDraining.ts
@@ -0,0 +1,119 @@
+/** Drains a backend server or lets it take work again. */
+import type { Change } from '../../../common/protocol/Configuration.js';
+import type { ServerStatus } from '../../../common/protocol/Control.js';
+import { DrainRequest, type DrainReply } from '../../../common/protocol/Operator.js';
+import { callSignal, listInstances } from '../../../follower/ConfigurationClients.js';
+import { mapConcurrently } from '../../../follower/Concurrency.js';
+import { refuse, type OperatorHandler, type OperatorServices } from '../Types.js';
+import { operatorErrorOf } from './PublishChange.js';
+
+/** Tries after losing a race against changes of other subjects. */
+const RACE_TRIES = 8;
+
+interface Wanted {
+  readonly serverId: string;
+  readonly draining: boolean;
+  readonly changeId: string;
+  readonly operator: string;
+}
+
+/** Outcome of telling the agent: its state, or why it was not told. */
+type Told = { readonly status: ServerStatus } | { readonly problem: string };
+
+/**
+ * Handles `POST /v1/operator/servers/{id}/drain` and `/resume`. The agent is told directly, so that
+ * the drain is in force at once; the configuration makes it hold for the agent's next incarnation.
+ * @param draining - true for drain
+ * @returns handler
+ */
+export function setDraining(draining: boolean): OperatorHandler {
+  return async (services, call) => {
+    const request = DrainRequest.safeParse(call.body);
+    if (!request.success) return refuse({ kind: 'bad-request', message: 'expected {changeId}' });
+    const { changeId } = request.data;
+    const wanted = { serverId: call.name, draining, changeId, operator: call.operator };
+    const [told, recorded] = await Promise.all([
+      tellAgent(services, wanted),
+      recordFlag(services, wanted),
+    ]);
+    if ('problem' in told && recorded !== null) {
+      const message = `agent: ${told.problem}; configuration: ${recorded}`;
+      return refuse({ kind: 'unavailable', message });
+    }
+    const body: DrainReply = {
+      serverId: wanted.serverId,
+      draining,
+      running: 'status' in told ? told.status.load.running : null,
+      agent: 'problem' in told ? told.problem : null,
+      recorded,
+    };
+    return { ok: true, body };
+  };
+}
+
+async function tellAgent(services: OperatorServices, wanted: Wanted): Promise<Told> {
+  const address = await findAgent(services, wanted.serverId);
+  if (address === null) return { problem: 'no agent of this server answers' };
+  const { server } = services.agentAt(address);
+  const options = { signal: callSignal() };
+  try {
+    const command = wanted.draining ? server.drain : server.resume;
+    return { status: await command.mutate(undefined, options) };
+  } catch (error) {
+    return { problem: `the agent at ${address} does not answer: ${reasonOf(error)}` };
+  }
+}
+
+/** The membership list names agents, not backend servers, so the agents are asked. */
+async function findAgent(services: OperatorServices, serverId: string): Promise<string | null> {
+  const instances = await listInstances(services.membership);
+  const agents = instances.filter((instance) => instance.role === 'agent');
+  const isBeside = async (address: string): Promise<boolean> => {
+    try {
+      const status = await services
+        .agentAt(address)
+        .server.status.query(undefined, { signal: callSignal() });
+      return status.serverId === serverId;
+    } catch {
+      return false;
+    }
+  };
+  const namesake = agents.find((agent) => agent.id === serverId);
+  if (namesake && (await isBeside(namesake.address))) return namesake.address;
+  const matches = await mapConcurrently(agents, (agent) => isBeside(agent.address));
+  return agents.find((_agent, position) => matches[position])?.address ?? null;
+}
+
+/** @returns null if the flag is in the configuration, else why it is not. */
+async function recordFlag(services: OperatorServices, wanted: Wanted): Promise<string | null> {
+  const { source, writer } = services;
+  const { serverId, draining, changeId, operator } = wanted;
+  let reason = 'too many concurrent changes';
+  for (let attempt = 0; attempt < RACE_TRIES; attempt += 1) {
+    await source.refresh();
+    const snapshot = source.snapshot();
+    const known = snapshot.servers.get(serverId);
+    if (known?.draining === draining) return null;
+    const result = await writer.publish({
+      expectedRevision: snapshot.revision,
+      changeId,
+      author: operator,
+      subject: { kind: 'server', value: { id: serverId, draining } },
+    });
+    if (result.ok) return null;
+    const error = operatorErrorOf(result.error);
+    reason = error.message;
+    // Changes of other subjects do not matter to a drain; one of the same server does.
+    const isOther = error.kind === 'conflict' && !isAbout(error.winner, serverId);
+    if (!isOther) return reason;
+  }
+  return reason;
+}
+
+function isAbout(change: Change | null, serverId: string): boolean {
+  return change?.subject.kind === 'server' && change.subject.value.id === serverId;
+}
+
+function reasonOf(error: unknown): string {
+  return error instanceof Error ? error.message : String(error);
+}
--- /dev/null
+++ b/src/entry/operator/queries/ConfigurationQuery.ts
@@ -0,0 +1,19 @@
+/** Lists what is in force. */
+import type { ConfigurationReply } from '../../../common/protocol/Operator.js';
+import type { OperatorHandler } from '../Types.js';
+
+/**
+ * Handles `GET /v1/operator/configuration`. The store is read first, so that an operator who lists
+ * and then publishes seldom loses a race against a change that was already made.
+ */
+export const queryConfiguration: OperatorHandler = async ({ source }) => {
+  await source.refresh();
+  const snapshot = source.snapshot();
+  const body: ConfigurationReply = {
+    ...source.notice(),
+    templates: [...snapshot.templates.values()],
+    accounts: [...snapshot.accounts.values()],
+    servers: [...snapshot.servers.values()],
+  };
+  return { ok: true, body };
+};
--- /dev/null
+++ b/src/entry/operator/queries/ExplanationQuery.ts
@@ -0,0 +1,29 @@
+/** Finds the decisions about a request. */
+import type { Explanation } from '../../../common/protocol/Control.js';
+import { callSignal, listInstances } from '../../../follower/ConfigurationClients.js';
+import { mapConcurrently } from '../../../follower/Concurrency.js';
+import { refuse, type OperatorHandler } from '../Types.js';
+
+/** Handles `GET /v1/operator/requests/{id}`. Entries are asked, those named by the id first. */
+export const queryExplanation: OperatorHandler = async (services, call) => {
+  const requestId = call.name;
+  const own = await services.control.explanation(requestId);
+  if (own) return { ok: true, body: own };
+  const instances = await listInstances(services.membership);
+  const entries = instances.filter(({ role, id }) => role === 'entry' && id !== services.entryId);
+  const named = entries.filter(({ id }) => requestId.startsWith(id));
+  const asked = named.length > 0 ? named : entries;
+  const found = await mapConcurrently(asked, async ({ address }): Promise<Explanation | null> => {
+    try {
+      return await services
+        .entryAt(address)
+        .explanation.get.query({ requestId }, { signal: callSignal() });
+    } catch {
+      return null;
+    }
+  });
+  const explanation = found.find((candidate) => candidate !== null);
+  if (explanation) return { ok: true, body: explanation };
+  const message = `no entry that answers knows request "${requestId}"; entries keep the last 10,000`;
+  return refuse({ kind: 'not-found', message });
+};
--- /dev/null
+++ b/src/entry/operator/queries/StatusQuery.ts
@@ -0,0 +1,34 @@
+/** Asks all entries and agents for their state. */
+import type { Instance } from '../../../common/protocol/Membership.js';
+import type { ProcessStatus, StatusReply } from '../../../common/protocol/Operator.js';
+import { callSignal, listInstances } from '../../../follower/ConfigurationClients.js';
+import { mapConcurrently } from '../../../follower/Concurrency.js';
+import type { OperatorHandler, OperatorServices } from '../Types.js';
+
+/** Handles `GET /v1/operator/status`. Processes that do not answer are listed as such. */
+export const queryStatus: OperatorHandler = async (services) => {
+  const instances = await listInstances(services.membership);
+  const processes = await mapConcurrently(instances, (instance) => ask(services, instance));
+  const body: StatusReply = { revision: services.source.notice().revision, processes };
+  return { ok: true, body };
+};
+
+async function ask(services: OperatorServices, instance: Instance): Promise<ProcessStatus> {
+  const { id, address, failureDomain, state, role } = instance;
+  const common = { id, address, failureDomain, state };
+  const options = { signal: callSignal() };
+  try {
+    if (role === 'agent') {
+      const status = await services.agentAt(address).server.status.query(undefined, options);
+      return { ...common, role, status };
+    }
+    const status =
+      id === services.entryId
+        ? await services.control.status()
+        : await services.entryAt(address).status.get.query(undefined, options);
+    return { ...common, role, status };
+  } catch (error) {
+    const problem = error instanceof Error ? error.message : String(error);
+    return { ...common, role, problem };
+  }
+}
--- a/src/follower/ConfigurationClients.ts
+++ b/src/follower/ConfigurationClients.ts
@@ -1,5 +1,6 @@
 /** tRPC clients for the configuration calls of other processes; entries and agents have the same ones. */
 import { createTRPCClient, httpLink, type TRPCClient } from '@trpc/client';
+import type { AnyRouter } from '@trpc/server';
 import { LRUCache } from 'lru-cache';
 import { INTERNAL_TOKEN_HEADER, TRPC_PATH } from '../common/protocol/Control.js';
 import type { EntryRouter } from '../entry/EntryRouter.js';
@@ -13,9 +14,6 @@
 /** Clients kept; above the number of processes at the design size. */
 const CLIENT_LIMIT = 2048;
 
-/** Client of the configuration calls of one process. */
-export type ConfigurationClient = TRPCClient<EntryRouter>;
-
 /** Options of {@link createPeers}. */
 export interface PeerOptions {
   /** Own id, left out of the answer. */
@@ -27,23 +25,23 @@
 }
 
 /**
- * Makes clients and keeps them for later calls.
+ * Makes tRPC clients and keeps them for later calls. Entries and agents have the same configuration
+ * calls, so a client for these can be typed as that of an entry.
  * @param internalToken - secret shared by the system's processes
  * @returns function from `ip:port` to a client
  */
-export function createClients(internalToken: string): (address: string) => ConfigurationClient {
-  const clients = new LRUCache<string, ConfigurationClient>({ max: CLIENT_LIMIT });
+export function createClients<R extends AnyRouter>(
+  internalToken: string,
+): (address: string) => TRPCClient<R> {
+  const clients = new LRUCache<string, TRPCClient<R>>({ max: CLIENT_LIMIT });
   return (address) => {
     const known = clients.get(address);
     if (known) return known;
-    const client = createTRPCClient<EntryRouter>({
-      links: [
-        httpLink({
-          url: `http://${address}${TRPC_PATH}`,
-          headers: { [INTERNAL_TOKEN_HEADER]: `Bearer ${internalToken}` },
-        }),
-      ],
+    const link = httpLink({
+      url: `http://${address}${TRPC_PATH}`,
+      headers: { [INTERNAL_TOKEN_HEADER]: `Bearer ${internalToken}` },
     });
+    const client = createTRPCClient<R>({ links: [link] });
     clients.set(address, client);
     return client;
   };
@@ -61,7 +59,7 @@
  * @returns function for the option `peers` of the follower
  */
 export function createPeers(options: PeerOptions): () => Promise<ConfigurationPeer[]> {
-  const clientOf = createClients(options.internalToken);
+  const clientOf = createClients<EntryRouter>(options.internalToken);
   return async () => {
     const listed = await listInstances(options.membership);
     const entries = listed.filter(({ role, id }) => role === 'entry' && id !== options.ownId);
--- a/src/follower/ConfigurationPublisher.ts
+++ b/src/follower/ConfigurationPublisher.ts
@@ -1,4 +1,4 @@
-import { validateChange } from '../common/configuration/ChangeValidation.js';
+import { validateChange, type ChangeProblem } from '../common/configuration/ChangeValidation.js';
 import {
   CONFIGURATION_TABLE,
   Change,
@@ -71,7 +71,13 @@
       at,
       subject,
     });
-    if (!parsed.success) return failure({ kind: 'invalid', message: parsed.error.message });
+    if (!parsed.success) {
+      const problems = parsed.error.issues.map(({ path, message }) => ({
+        path: path as (string | number)[],
+        message,
+      }));
+      return failure(invalid(problems));
+    }
     const change = parsed.data;
     const head = await readHead(this.options.store, this.timeoutMs);
     if (!head.ok) return failure({ kind: 'unavailable', message: 'the store does not answer' });
@@ -98,10 +104,7 @@
     if (snapshot.revision > expected) return null;
     const problems = validateChange(snapshot, change.subject);
     if (problems.length === 0) return null;
-    const message = problems
-      .map((problem) => `${problem.path.join('.')}: ${problem.message}`)
-      .join('; ');
-    return { kind: 'invalid', message };
+    return invalid(problems);
   }
 
   /**
@@ -173,3 +176,8 @@
 function failure(error: PublishError): PublishResult {
   return { ok: false, error };
 }
+
+function invalid(problems: readonly ChangeProblem[]): PublishError {
+  const texts = problems.map((problem) => `${problem.path.join('.')}: ${problem.message}`);
+  return { kind: 'invalid', message: texts.join('; '), problems };
+}
--- a/src/follower/MembershipNotifier.ts
+++ b/src/follower/MembershipNotifier.ts
@@ -1,12 +1,11 @@
+import type { EntryRouter } from '../entry/EntryRouter.js';
 import type { Change } from '../common/protocol/Configuration.js';
 import type { MembershipList } from '../platform/Types.js';
 import type { Logger } from '../telemetry/Logger.js';
+import { mapConcurrently } from './Concurrency.js';
 import { callSignal, createClients, listInstances } from './ConfigurationClients.js';
 import type { ChangeNotifier } from './Types.js';
 
-/** Calls under way at a time; 1,100 processes are told in about 35 rounds of a few ms. */
-const CONCURRENCY = 32;
-
 /** Options of {@link MembershipNotifier}. */
 export interface MembershipNotifierOptions {
   /** Own id, which needs no notice. */
@@ -21,7 +20,7 @@
   private readonly clientOf;
 
   constructor(private readonly options: MembershipNotifierOptions) {
-    this.clientOf = createClients(options.internalToken);
+    this.clientOf = createClients<EntryRouter>(options.internalToken);
   }
 
   async notify(changes: readonly Change[]): Promise<void> {
@@ -31,15 +30,8 @@
       .filter(({ id }) => id !== ownId)
       .sort((left, right) => Number(right.role === 'entry') - Number(left.role === 'entry'))
       .map(({ address }) => address);
-    let failed = 0;
-    const work = targets.values();
-    const send = async (): Promise<void> => {
-      for (const address of work) {
-        const told = await this.tell(address, changes);
-        if (!told) failed += 1;
-      }
-    };
-    await Promise.all(Array.from({ length: CONCURRENCY }, send));
+    const told = await mapConcurrently(targets, (address) => this.tell(address, changes));
+    const failed = told.filter((success) => !success).length;
     logger.debug('change sent', { revision: changes.at(-1)?.revision, to: targets.length, failed });
   }
 
--- a/src/follower/Types.ts
+++ b/src/follower/Types.ts
@@ -1,4 +1,5 @@
 /** Following and publishing the configuration. */
+import type { ChangeProblem } from '../common/configuration/ChangeValidation.js';
 import type { Disposable, Event } from '../common/events/Types.js';
 import type { RevisionNotice } from '../common/protocol/Attempt.js';
 import type {
@@ -56,7 +57,11 @@
 /** Errors of publishing. */
 export type PublishError =
   | { readonly kind: 'conflict'; readonly head: number; readonly winner: Change | null }
-  | { readonly kind: 'invalid'; readonly message: string }
+  | {
+      readonly kind: 'invalid';
+      readonly message: string;
+      readonly problems: readonly ChangeProblem[];
+    }
   | { readonly kind: 'unavailable'; readonly message: string }
   | { readonly kind: 'ambiguous'; readonly message: string };
 
