Add the load tool: launcher, relay, naive baseline, first proofs and bench

Cause: the promises of the design page need proof with real processes, and the current policy needs a baseline to be compared with.

The launcher starts stand-ins, agents and entries with settings in a fresh temporary folder, writes templates and accounts to the table service before the entries start, and ends every process by its id.

--- /dev/null
+++ b/src/load/LoadCommand.ts
@@ -0,0 +1,161 @@
+/** Command line of `citronstage-load`. */
+import { readFileSync } from 'node:fs';
+import yargs, { type Argv } from 'yargs';
+import { EXIT_BAD_SETTINGS, describeProblem, readSettings } from '../settings/SettingsFile.js';
+import { BENCH_FAULTS } from './bench/BenchFaults.js';
+import { renderReport, runBench } from './bench/BenchCommand.js';
+import { runDemo } from './demo/Demo.js';
+import { DEPLOYMENTS } from './deployment/Deployments.js';
+import { NaiveServer } from './naive/NaiveServer.js';
+import { NaiveSettings } from './naive/NaiveSettings.js';
+import { PROOFS } from './prove/Proofs.js';
+import { prove } from './prove/ProveCommand.js';
+
+const EXIT_SUCCESS = 0;
+const EXIT_FAILURE = 1;
+const DEFAULT_PROOF_SECONDS = 20;
+
+/** Wrong arguments; the message says what was expected. */
+class ArgumentError extends Error {}
+
+/**
+ * Runs the command line.
+ * @param words - arguments without the program name
+ * @returns exit code: 0 success, 1 runtime failure, 2 wrong settings or arguments
+ */
+export async function runLoad(words: readonly string[]): Promise<number> {
+  let exitCode = EXIT_SUCCESS;
+  const finish = (code: number): void => {
+    exitCode = code;
+  };
+  const parser = yargs(words)
+    .scriptName('citronstage-load')
+    .usage('$0 COMMAND: starts whole clusters on this machine and measures them')
+    .version(version())
+    .strict()
+    .demandCommand(1, 1, 'expected a command: demo, prove, bench or naive')
+    .exitProcess(false)
+    .fail((message, error) => {
+      throw error ?? new ArgumentError(message);
+    });
+  COMMANDS.forEach((add) => add(parser, finish));
+  try {
+    await parser.parseAsync();
+  } catch (error) {
+    process.stderr.write(`${error instanceof Error ? error.message : String(error)}\n`);
+    return error instanceof ArgumentError ? EXIT_BAD_SETTINGS : EXIT_FAILURE;
+  }
+  return exitCode;
+}
+
+type CommandAdder = (parser: Argv, finish: (code: number) => void) => void;
+
+function addProve(parser: Argv, finish: (code: number) => void): void {
+  parser.command(
+    'prove [promise]',
+    'puts a promise to proof with real processes under faults',
+    (command) =>
+      command
+        .positional('promise', { type: 'string', describe: 'promise, see --list' })
+        .option('list', { type: 'boolean', default: false, describe: 'lists all promises' })
+        .option('seed', { type: 'number', default: 1, describe: 'seed of load and faults' })
+        .option('seconds', {
+          type: 'number',
+          default: DEFAULT_PROOF_SECONDS,
+          describe: 'length of the phase with faults',
+        })
+        .option('baseline', { type: 'boolean', default: false, describe: 'proves the baseline' })
+        .option('keep', { type: 'boolean', default: false, describe: 'keeps settings and logs' }),
+    async (options) => {
+      if (options.list) {
+        Object.entries(PROOFS).forEach(([name, proof]) => print(`${name}: ${proof.description}`));
+        return;
+      }
+      const { promise, seed, seconds } = options;
+      if (promise === undefined || !(promise in PROOFS)) {
+        throw new ArgumentError(`expected a promise: ${Object.keys(PROOFS).join(', ')}`);
+      }
+      const variant = options.baseline ? 'naive' : 'current';
+      const proof = { promise, seed, seconds, variant, keepFolder: options.keep } as const;
+      const { report, passed } = await prove(proof, progress);
+      print(JSON.stringify(report));
+      finish(passed ? EXIT_SUCCESS : EXIT_FAILURE);
+    },
+  );
+}
+
+function addDemo(parser: Argv, finish: (code: number) => void): void {
+  parser.command(
+    'demo',
+    'serves one plan and one deposit through separate processes',
+    (command) => command,
+    async () => {
+      finish((await runDemo(print)) ? EXIT_SUCCESS : EXIT_FAILURE);
+    },
+  );
+}
+
+function addBench(parser: Argv): void {
+  parser.command(
+    'bench',
+    'compares the naive and the current policy under the same load',
+    (command) =>
+      command
+        .option('deployment', {
+          choices: Object.keys(DEPLOYMENTS),
+          default: 'ashdown',
+          describe: 'deployment to start',
+        })
+        .option('fault', {
+          choices: Object.keys(BENCH_FAULTS),
+          default: 'none',
+          describe: 'fault scenario',
+        })
+        .option('seed', { type: 'number', default: 1, describe: 'seed of the arrivals' })
+        .option('seconds', { type: 'number', default: 30, describe: 'length of the load' })
+        .option('load', { type: 'number', default: 0.7, describe: 'multiple of capacity' })
+        .option('json', { type: 'boolean', default: false, describe: 'prints JSON only' }),
+    async ({ deployment, fault, seed, seconds, load, json }) => {
+      const report = await runBench({ deployment, fault, seed, seconds, load }, progress);
+      if (!json) renderReport(report).forEach(print);
+      print(JSON.stringify(report));
+    },
+  );
+}
+
+function addNaive(parser: Argv, finish: (code: number) => void): void {
+  parser.command(
+    'naive',
+    'serves the caller interface with the naive policy',
+    (command) =>
+      command
+        .option('config', { type: 'string', demandOption: true, describe: 'settings file' })
+        .option('check', { type: 'boolean', default: false, describe: 'validates and exits' }),
+    async ({ config, check }) => {
+      const settings = readSettings(config, NaiveSettings);
+      if (!settings.ok) {
+        settings.problems.forEach((problem) => progress(describeProblem(problem)));
+        finish(EXIT_BAD_SETTINGS);
+        return;
+      }
+      if (!check) await new NaiveServer(settings.value).start();
+    },
+  );
+}
+
+const COMMANDS: readonly CommandAdder[] = [addDemo, addProve, addBench, addNaive];
+
+function print(line: string): void {
+  process.stdout.write(`${line}\n`);
+}
+
+function progress(line: string): void {
+  process.stderr.write(`${line}\n`);
+}
+
+function version(): string {
+  // The package file is read once, before anything is started.
+  // eslint-disable-next-line n/no-sync
+  const text = readFileSync(new URL('../../package.json', import.meta.url), 'utf8');
+  return (JSON.parse(text) as { version: string }).version;
+}
--- /dev/null
+++ b/src/load/launch/Cluster.ts
@@ -0,0 +1,257 @@
+import { join } from 'node:path';
+import { sha256 } from '../../common/Digest.js';
+import type { Instance } from '../../common/protocol/Membership.js';
+import { StandinClient } from '../client/StandinClient.js';
+import type { NaiveSettings } from '../naive/NaiveSettings.js';
+import { writeSeed } from './ConfigurationSeed.js';
+import { Launcher } from './Launcher.js';
+import type { ManagedProcess } from './ManagedProcess.js';
+import { LOOPBACK, freePorts } from './Ports.js';
+import { backendService, platformServices, type StandinService } from './StandinServices.js';
+import { TcpRelay } from './TcpRelay.js';
+import type { AgentInstance, BackendServer, ClusterOptions, EntryInstance } from './Types.js';
+
+/** Token of the operator that every launched entry knows. */
+export const OPERATOR_TOKEN = 'operator-token-of-launcher';
+
+const INTERNAL_TOKEN = 'internal-token-of-launcher';
+
+/** Backend stand-ins are spread over this many processes, so that one core does not limit them. */
+const BACKENDS_PER_PROCESS = 8;
+
+/** Processes started at the same moment; more would only wait for a core. */
+const START_BATCH = 8;
+
+/** A whole deployment as child processes on the loopback interface. */
+export class Cluster {
+  readonly servers: BackendServer[] = [];
+
+  readonly entries: EntryInstance[] = [];
+
+  readonly agents: AgentInstance[] = [];
+
+  /** Relay before the table service. */
+  tableRelay: TcpRelay | undefined;
+
+  /** Control interfaces of the platform stand-ins. */
+  table!: StandinClient;
+
+  objects!: StandinClient;
+
+  membership!: StandinClient;
+
+  /** Relays before agents, or before backend servers for the baseline. */
+  readonly dataRelays: TcpRelay[] = [];
+
+  private readonly standins: ManagedProcess[] = [];
+
+  private tableUrl = '';
+
+  private constructor(
+    readonly options: ClusterOptions,
+    readonly launcher: Launcher,
+  ) {}
+
+  /**
+   * Starts stand-ins, writes the configuration, starts agents and entries.
+   * @param options - what to start
+   * @returns the running cluster; dispose it in any case
+   */
+  static async start(options: ClusterOptions): Promise<Cluster> {
+    const cluster = new Cluster(options, await Launcher.create());
+    try {
+      await cluster.startAll();
+      return cluster;
+    } catch (error) {
+      await cluster.dispose(true);
+      throw error;
+    }
+  }
+
+  get naive(): boolean {
+    return this.options.variant === 'naive';
+  }
+
+  /**
+   * @param pool - pool name
+   * @returns backend servers of the pool
+   */
+  serversOf(pool: string): BackendServer[] {
+    return this.servers.filter((server) => server.pool.name === pool);
+  }
+
+  /**
+   * @param pool - pool name
+   * @returns agents beside the servers of the pool
+   */
+  agentsOf(pool: string): AgentInstance[] {
+    return this.agents.filter((agent) => agent.server.pool.name === pool);
+  }
+
+  /** @returns all instances as the membership list should show them. */
+  instances(): Instance[] {
+    const { region } = this.options.deployment;
+    const entries = this.entries.map((entry): Instance => {
+      const { id, address, failureDomain } = entry;
+      return { id, role: 'entry', address, failureDomain, region, state: 'live' };
+    });
+    const agents = this.agents.map((agent): Instance => {
+      const { failureDomain, pool } = agent.server;
+      const { id, listedAddress: address } = agent;
+      const base = { id, address, failureDomain, region };
+      return { ...base, role: 'agent', pool: pool.name, state: 'live' };
+    });
+    return [...entries, ...agents];
+  }
+
+  /**
+   * Ends all processes and relays.
+   * @param failed - keeps the folder with settings and logs
+   */
+  async dispose(failed = false): Promise<void> {
+    await this.launcher.dispose(failed || this.options.keepFolder);
+    const relays = this.tableRelay ? [...this.dataRelays, this.tableRelay] : this.dataRelays;
+    await Promise.all(relays.map((relay) => relay.dispose()));
+  }
+
+  private async startAll(): Promise<void> {
+    await this.startStandins();
+    await writeSeed(this.tableUrl, this.options.deployment);
+    const platform = await this.platformSettings();
+    await this.defineAgents(platform);
+    await this.defineEntries(platform);
+    await this.membership.setInstances(this.instances());
+    await startInBatches(this.agents.map((agent) => agent.process));
+    await startInBatches(this.entries.map((entry) => entry.process));
+  }
+
+  private async startStandins(): Promise<void> {
+    const { pools, failureDomains } = this.options.deployment;
+    const wanted = pools.flatMap((pool) =>
+      Array.from({ length: pool.servers }, (_unused, index) => ({ pool, index })),
+    );
+    const ports = await freePorts(wanted.length + 3);
+    const addresses = ports.map((port) => `${LOOPBACK}:${port}`);
+    const [table, objects, membership] = addresses.splice(0, 3) as [string, string, string];
+    this.table = new StandinClient(table);
+    this.objects = new StandinClient(objects);
+    this.membership = new StandinClient(membership);
+    this.tableUrl = `http://${table}`;
+    wanted.forEach(({ pool, index }, position) => {
+      const address = addresses[position]!;
+      this.servers.push({
+        id: `${pool.name}-${index + 1}`,
+        pool,
+        address,
+        failureDomain: failureDomains[index % failureDomains.length]!,
+        control: new StandinClient(address),
+      });
+    });
+    await this.defineStandin('platform', platformServices({ table, objects, membership }));
+    for (let first = 0; first < this.servers.length; first += BACKENDS_PER_PROCESS) {
+      const hosted = this.servers.slice(first, first + BACKENDS_PER_PROCESS);
+      await this.defineStandin(`backends-${first}`, hosted.map(backendService));
+    }
+    await Promise.all(this.standins.map((standin) => standin.start()));
+  }
+
+  private async defineStandin(name: string, services: StandinService[]): Promise<void> {
+    this.standins.push(
+      await this.launcher.define(`standin-${name}`, 'citronstage-standin', { services }),
+    );
+  }
+
+  private async platformSettings(): Promise<Record<string, string>> {
+    this.tableRelay = new TcpRelay(this.table.address);
+    return {
+      tableUrl: `http://${await this.tableRelay.listen()}`,
+      objectUrl: `http://${this.objects.address}`,
+      membershipUrl: `http://${this.membership.address}`,
+    };
+  }
+
+  private async defineAgents(platform: Record<string, string>): Promise<void> {
+    if (this.naive) return;
+    const ports = await freePorts(this.servers.length);
+    for (const [position, server] of this.servers.entries()) {
+      const id = `agent-${server.id}`;
+      const address = `${LOOPBACK}:${ports[position]}`;
+      const relay = this.options.relays ? this.addRelay(address) : undefined;
+      const listedAddress = relay ? await relay.listen() : address;
+      const { slots, name } = server.pool;
+      const settings = {
+        ...this.processSettings(id, address, server.failureDomain, platform),
+        backend: { id: server.id, url: `http://${server.address}`, pool: name, slots },
+        ...this.options.agent,
+      };
+      const process = await this.launcher.define(id, 'citronstage-agent', settings);
+      this.agents.push({ id, address, listedAddress, server, process, ...(relay && { relay }) });
+    }
+  }
+
+  private async defineEntries(platform: Record<string, string>): Promise<void> {
+    const { entries, failureDomains } = this.options.deployment;
+    const ports = await freePorts(entries);
+    for (const [position, port] of ports.entries()) {
+      const id = `entry-${position + 1}`;
+      const address = `${LOOPBACK}:${port}`;
+      const failureDomain = failureDomains[position % failureDomains.length]!;
+      const process = this.naive
+        ? await this.defineNaive(id, address, platform)
+        : await this.launcher.define(id, 'citronstage-entry', {
+            ...this.processSettings(id, address, failureDomain, platform),
+            operators: [{ name: 'launcher', tokenDigest: sha256(OPERATOR_TOKEN) }],
+            shutdown: { balancerDelayMs: 200 },
+            ...this.options.entry,
+          });
+      this.entries.push({ id, address, failureDomain, process });
+    }
+  }
+
+  private processSettings(
+    id: string,
+    address: string,
+    failureDomain: string,
+    platform: Record<string, string>,
+  ): Record<string, unknown> {
+    const file = this.options.traceFile;
+    return {
+      id,
+      address,
+      failureDomain,
+      region: this.options.deployment.region,
+      platform,
+      internalToken: INTERNAL_TOKEN,
+      log: { level: 'info' },
+      tracing: file === undefined ? { sampleRatio: 0 } : { file: join(this.launcher.folder, file) },
+    };
+  }
+
+  private async defineNaive(
+    id: string,
+    address: string,
+    platform: Record<string, string>,
+  ): Promise<ManagedProcess> {
+    const servers: NaiveSettings['servers'] = [];
+    for (const server of this.servers) {
+      const relay = this.options.relays ? this.addRelay(server.address) : undefined;
+      const reached = relay ? await relay.listen() : server.address;
+      servers.push({ pool: server.pool.name, url: `http://${reached}` });
+    }
+    const settings = { address, tableUrl: platform.tableUrl!, pollIntervalMs: 1000, servers };
+    return this.launcher.define(id, 'citronstage-load', settings, ['naive']);
+  }
+
+  private addRelay(target: string): TcpRelay {
+    const relay = new TcpRelay(target);
+    this.dataRelays.push(relay);
+    return relay;
+  }
+}
+
+async function startInBatches(processes: readonly ManagedProcess[]): Promise<void> {
+  for (let first = 0; first < processes.length; first += START_BATCH) {
+    const batch = processes.slice(first, first + START_BATCH);
+    await Promise.all(batch.map((member) => member.start()));
+  }
+}
--- /dev/null
+++ b/src/load/launch/TcpRelay.test.ts
@@ -0,0 +1,58 @@
+import assert from 'node:assert/strict';
+import { once } from 'node:events';
+import { createServer, connect, type AddressInfo, type Socket } from 'node:net';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { test } from 'node:test';
+import { TcpRelay } from './TcpRelay.js';
+
+async function withEcho(run: (relay: TcpRelay, open: () => Socket) => Promise<void>) {
+  const echo = createServer((socket) => socket.on('error', () => undefined).pipe(socket));
+  echo.listen(0, '127.0.0.1');
+  await once(echo, 'listening');
+  const relay = new TcpRelay(`127.0.0.1:${(echo.address() as AddressInfo).port}`);
+  const [host, port] = (await relay.listen()).split(':') as [string, string];
+  const sockets: Socket[] = [];
+  try {
+    await run(relay, () => {
+      const socket = connect(Number(port), host);
+      socket.on('error', () => undefined);
+      sockets.push(socket);
+      return socket;
+    });
+  } finally {
+    sockets.forEach((socket) => socket.destroy());
+    await relay.dispose();
+    echo.close();
+  }
+}
+
+test('a silent connection stays open without an answer while a new one works', async () => {
+  await withEcho(async (relay, open) => {
+    const old = open();
+    old.write('a');
+    await once(old, 'data');
+    assert.equal(relay.silence(), 1);
+    let answered = false;
+    old.on('data', () => {
+      answered = true;
+    });
+    old.write('b');
+    const fresh = open();
+    fresh.write('c');
+    const [bytes] = (await once(fresh, 'data')) as [Buffer];
+    await sleep(50);
+    assert.equal(bytes.toString(), 'c');
+    assert.equal(answered, false);
+    assert.equal(old.destroyed, false);
+  });
+});
+
+test('a cut closes open connections, so that callers see a broken one', async () => {
+  await withEcho(async (relay, open) => {
+    const socket = open();
+    socket.write('a');
+    await once(socket, 'data');
+    assert.equal(relay.cutAll(), 1);
+    await once(socket, 'close');
+  });
+});
--- /dev/null
+++ b/src/load/launch/TcpRelay.ts
@@ -0,0 +1,156 @@
+import { connect, createServer, type AddressInfo, type Server, type Socket } from 'node:net';
+import { LOOPBACK } from './Ports.js';
+
+/** A pair of sockets. */
+interface Connection {
+  readonly near: Socket;
+  readonly far: Socket;
+  /** Drops all bytes in both directions and never closes. */
+  silent: boolean;
+  /** True from the first byte of a request to the first byte of its answer. */
+  isWaiting: boolean;
+  /** Gets the answers; another connection's near side after two were crossed. */
+  receiver: Socket;
+}
+
+/** One whole chunk of a chunked HTTP body, but not the last one. */
+const WHOLE_CHUNK = /^[1-9a-f][0-9a-f]*\r\n[^]*\r\n$/i;
+
+/**
+ * Relay of TCP connections to one target. Open connections can fall silent for good, be cut, have
+ * their answers crossed or parts of their answers repeated.
+ */
+export class TcpRelay {
+  private readonly connections = new Set<Connection>();
+
+  private readonly server: Server;
+
+  /** Added to every transfer in each direction, in milliseconds. */
+  delayMs = 0;
+
+  /** New connections are closed at once while this is set. */
+  refusing = false;
+
+  /** Open connections that were made silent. */
+  silenced = 0;
+
+  /** Open connections that were cut. */
+  cut = 0;
+
+  /** Every part of an answer that is one chunk of a chunked HTTP body is sent twice if set. */
+  repeating = false;
+
+  /** Parts that were sent twice. */
+  repeated = 0;
+
+  /** Connections whose answers went to another connection. */
+  crossed = 0;
+
+  /** @param target - `ip:port` behind the relay */
+  constructor(private readonly target: string) {
+    this.server = createServer((near) => this.accept(near));
+  }
+
+  /**
+   * @param port - port to listen on; 0 for any
+   * @returns `ip:port` of the relay
+   */
+  async listen(port = 0): Promise<string> {
+    await new Promise<void>((resolve) => {
+      this.server.listen(port, LOOPBACK, resolve);
+    });
+    return `${LOOPBACK}:${(this.server.address() as AddressInfo).port}`;
+  }
+
+  /**
+   * Makes all open connections silent for good; new ones work.
+   * @returns number of connections made silent
+   */
+  silence(): number {
+    const open = [...this.connections].filter((connection) => !connection.silent);
+    open.forEach((connection) => Object.assign(connection, { silent: true }));
+    this.silenced += open.length;
+    return open.length;
+  }
+
+  /**
+   * Closes all open connections without a proper end.
+   * @returns number of connections cut
+   */
+  cutAll(): number {
+    const open = [...this.connections];
+    open.forEach((connection) => this.drop(connection));
+    this.cut += open.length;
+    return open.length;
+  }
+
+  /**
+   * Exchanges the answers of connections that wait for one, two by two.
+   * @returns number of connections whose answers go to another one from now on
+   */
+  cross(): number {
+    const waiting = [...this.connections].filter(
+      (connection) => connection.isWaiting && !connection.silent,
+    );
+    const pairs = Math.floor(waiting.length / 2);
+    for (let pair = 0; pair < pairs; pair += 1) {
+      const left = waiting[2 * pair]!;
+      const right = waiting[2 * pair + 1]!;
+      [left.receiver, right.receiver] = [right.receiver, left.receiver];
+    }
+    this.crossed += 2 * pairs;
+    return 2 * pairs;
+  }
+
+  /** Closes listener and connections. */
+  async dispose(): Promise<void> {
+    const closed = new Promise<void>((resolve) => {
+      this.server.close(() => resolve());
+    });
+    [...this.connections].forEach((connection) => this.drop(connection));
+    await closed;
+  }
+
+  private accept(near: Socket): void {
+    if (this.refusing) {
+      near.destroy();
+      return;
+    }
+    const [host, port] = this.target.split(':');
+    const far = connect(Number(port), host);
+    const connection = { near, far, silent: false, isWaiting: false, receiver: near };
+    this.connections.add(connection);
+    near.on('data', (bytes) => {
+      connection.isWaiting = true;
+      this.send(connection, far, bytes);
+    });
+    far.on('data', (bytes) => {
+      connection.isWaiting = false;
+      this.send(connection, connection.receiver, bytes);
+      if (this.repeating && WHOLE_CHUNK.test(bytes.toString('latin1'))) {
+        this.repeated += 1;
+        this.send(connection, connection.receiver, bytes);
+      }
+    });
+    [near, far].forEach((socket) => {
+      socket.setNoDelay(true);
+      socket.on('error', () => undefined);
+      socket.on('close', () => {
+        if (!connection.silent) this.drop(connection);
+      });
+    });
+  }
+
+  private send(connection: Connection, to: Socket, bytes: Buffer): void {
+    if (connection.silent) return;
+    if (this.delayMs === 0) to.write(bytes);
+    else setTimeout(() => !connection.silent && to.write(bytes), this.delayMs);
+  }
+
+  private drop(connection: Connection): void {
+    connection.near.destroy();
+    connection.far.destroy();
+    if (connection.receiver !== connection.near) connection.receiver.destroy();
+    this.connections.delete(connection);
+  }
+}
--- /dev/null
+++ b/src/load/naive/NaivePipeline.ts
@@ -0,0 +1,85 @@
+import { randomUUID } from 'node:crypto';
+import type { CallerResult } from '../../common/protocol/CallerRequest.js';
+import type { Stage, Template } from '../../common/protocol/Configuration.js';
+import { callBackend, type NaiveOutput } from './NaiveBackend.js';
+import type { NaiveSettings } from './NaiveSettings.js';
+import { resolveInput } from './ResolveInput.js';
+
+/** Blind retries of a stage, whether it is idempotent or not. */
+const MAX_RETRIES = 2;
+
+/** Time allowed for one try of a stage, in milliseconds. */
+const TRY_TIMEOUT_MS = 2000;
+
+/** A request as the baseline runs it. */
+export interface NaiveRequest {
+  readonly requestId: string;
+  readonly account: string;
+  readonly template: Template;
+  readonly input: Record<string, unknown>;
+  readonly idempotencyKey: string | undefined;
+  readonly timeoutMs: number;
+  readonly onChunk: (offset: number, text: string) => void;
+}
+
+/** Runs the stages of a request against servers chosen round robin, with blind retries. */
+export class NaivePipeline {
+  private turn = 0;
+
+  /** @param servers - all backend servers */
+  constructor(private readonly servers: NaiveSettings['servers']) {}
+
+  /**
+   * @param request - request to run
+   * @returns result with output and usage of each stage
+   * @throws Error if a stage failed in all tries or the deadline passed
+   */
+  async run(request: NaiveRequest): Promise<CallerResult> {
+    const deadline = Date.now() + request.timeoutMs;
+    const outputs = new Map<string, unknown>([['request', request.input]]);
+    const stages: CallerResult['stages'] = [];
+    let output: unknown;
+    for (const stage of request.template.stages) {
+      const done = await this.runStage(request, stage, resolveInput(stage, outputs), deadline);
+      outputs.set(stage.name, done.output);
+      stages.push({ stage: stage.name, usage: done.usage, replayed: false });
+      output = done.output;
+    }
+    return { requestId: request.requestId, output, stages };
+  }
+
+  private async runStage(
+    request: NaiveRequest,
+    stage: Stage,
+    input: unknown,
+    deadline: number,
+  ): Promise<NaiveOutput> {
+    let failure = new Error('the deadline passed');
+    for (let attempt = 0; attempt <= MAX_RETRIES && Date.now() < deadline; attempt += 1) {
+      try {
+        return await callBackend({
+          url: this.nextServer(stage.pool),
+          stage,
+          input,
+          requestId: request.requestId,
+          attemptId: randomUUID(),
+          account: request.account,
+          idempotencyKey: request.idempotencyKey,
+          timeoutMs: Math.max(1, Math.min(TRY_TIMEOUT_MS, deadline - Date.now())),
+          onChunk: request.onChunk,
+        });
+      } catch (error) {
+        failure = error instanceof Error ? error : new Error(String(error));
+      }
+    }
+    throw failure;
+  }
+
+  private nextServer(pool: string): string {
+    const servers = this.servers.filter((server) => server.pool === pool);
+    this.turn += 1;
+    const server = servers[this.turn % servers.length];
+    if (!server) throw new Error(`no server in pool ${pool}`);
+    return server.url;
+  }
+}
--- /dev/null
+++ b/src/load/prove/Proofs.ts
@@ -0,0 +1,11 @@
+/** All proofs by promise, in the order of the design page. */
+import { AT_MOST_ONCE } from './AtMostOnce.js';
+import { TRUE_REFUSAL } from './TrueRefusal.js';
+import type { Proof } from './Types.js';
+import { WHOLE_AND_OWN } from './WholeAndOwn.js';
+
+export const PROOFS: Readonly<Record<string, Proof>> = {
+  'at-most-once': AT_MOST_ONCE,
+  'true-refusal': TRUE_REFUSAL,
+  'whole-and-own': WHOLE_AND_OWN,
+};
--- /dev/null
+++ b/src/load/prove/TrueRefusal.ts
@@ -0,0 +1,103 @@
+/** Promise 3: a refusal that says a request was not run is true. */
+import type { Run } from '../../standin/Faults.js';
+import type { Cluster } from '../launch/Cluster.js';
+import type { FaultName } from './FaultActions.js';
+import { FaultInjector } from './FaultInjector.js';
+import { MixedLoad, allRuns, nameOf, type MixedRecord } from './MixedLoad.js';
+import { heal } from './Recovery.js';
+import type { Proof, ProofContext, ProofOutcome } from './Types.js';
+import { withCluster } from './WithCluster.js';
+
+/** About one and a half times what the small deployment can serve, so that there are refusals. */
+const REQUESTS_PER_SECOND = 40;
+
+const FAULT_INTERVAL_MS = 500;
+
+/** Part of the requests whose caller allows a very short time. */
+const SHORT_EVERY = 5;
+const SHORT_TIMEOUT_MS = 150;
+
+const POOLS = ['engines', 'retrievers', 'bookings', 'orders'];
+
+const FAULTS: readonly FaultName[] = [
+  'kill-agent',
+  'freeze-agent',
+  'silent-connections',
+  'cut-connections',
+  'table-outage',
+  'table-lost-answers',
+  'server-errors',
+  'server-lost-answers',
+  'server-slow',
+];
+
+const BASELINE_FAULTS: readonly FaultName[] = [
+  'silent-connections',
+  'cut-connections',
+  'server-errors',
+  'server-lost-answers',
+  'server-slow',
+];
+
+export const TRUE_REFUSAL: Proof = {
+  description: 'every answer "not run" is true by the count of the backend servers',
+  run: (context) => withCluster(context, {}, (cluster) => prove(context, cluster)),
+};
+
+async function prove(context: ProofContext, cluster: Cluster): Promise<ProofOutcome> {
+  let requests = 0;
+  const load = new MixedLoad(
+    cluster,
+    {
+      perSecond: REQUESTS_PER_SECOND,
+      timeoutMs: (deadlineMs) => {
+        requests += 1;
+        return requests % SHORT_EVERY === 0 ? SHORT_TIMEOUT_MS : deadlineMs;
+      },
+    },
+    context.random,
+  );
+  const faults = cluster.naive ? BASELINE_FAULTS : FAULTS;
+  const plan = { faults, pools: POOLS, intervalMs: FAULT_INTERVAL_MS };
+  const injector = new FaultInjector(cluster, plan, context.random);
+  const injecting = injector.run();
+  await load.run(context.seconds);
+  await Promise.all([injector.stop(), injecting]);
+  await heal(cluster);
+  return judge(load.records, await allRuns(cluster), injector.counts);
+}
+
+function judge(
+  records: readonly MixedRecord[],
+  runs: readonly Run[],
+  faults: Record<string, number>,
+): ProofOutcome {
+  const requestsRun = new Set(runs.map((run) => run.requestId));
+  const keysRun = new Set(runs.map((run) => `${run.account}/${run.idempotencyKey}`));
+  const hasRun = ({ account, token, isKeyed, answer }: MixedRecord): boolean =>
+    (isKeyed && keysRun.has(`${account.id}/${token}`)) ||
+    (answer.kind === 'error' && requestsRun.has(answer.error.requestId ?? ''));
+  const refused = records.filter((record) => outcomeOf(record) === 'not-run');
+  const unknown = records.filter((record) => outcomeOf(record) === 'unknown');
+  const violations = refused
+    .filter(hasRun)
+    .map((record) => `${nameOf(record)}: refused as not run, but it ran`);
+  const figures = {
+    refused: refused.length,
+    results: records.filter(({ answer }) => answer.kind === 'result').length,
+    broken: records.filter(({ answer }) => answer.kind === 'broken').length,
+    unknown: unknown.length,
+    avoidableUnknown: unknown.filter((record) => !hasRun(record)).length,
+    unidentified: refused.filter((record) => !isIdentified(record)).length,
+  };
+  return { requests: records.length, faults, violations, figures };
+}
+
+function outcomeOf({ answer }: MixedRecord): string | undefined {
+  return answer.kind === 'error' ? answer.error.outcome : undefined;
+}
+
+/** Whether the refusal can be checked against the runs of the backend servers. */
+function isIdentified({ answer, isKeyed }: MixedRecord): boolean {
+  return isKeyed || (answer.kind === 'error' && answer.error.requestId !== undefined);
+}
