--- /dev/null
+++ b/src/agent/AgentProcess.ts
@@ -0,0 +1,249 @@
+import { randomUUID } from 'node:crypto';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { Gate } from '../common/gate/Gate.js';
+import { UsageMeter } from '../common/gate/UsageMeter.js';
+import type { Disposable } from '../common/events/Types.js';
+import type { Attempt } from '../common/protocol/Attempt.js';
+import { SeededRandom } from '../common/time/SeededRandom.js';
+import { callSignal, createClients, createPeers } from '../follower/ConfigurationClients.js';
+import { ConfigurationFollower } from '../follower/ConfigurationFollower.js';
+import { LedgerWriter } from '../ledger/LedgerWriter.js';
+import { HttpMembershipList } from '../platform/HttpMembershipList.js';
+import { HttpObjectStore } from '../platform/HttpObjectStore.js';
+import { HttpTableStore } from '../platform/HttpTableStore.js';
+import { SystemClock } from '../platform/SystemClock.js';
+import { createLogger, type Logger } from '../telemetry/Logger.js';
+import { createMetrics } from '../telemetry/Metrics.js';
+import { createTracing } from '../telemetry/Tracing.js';
+import { AgentServer } from './AgentServer.js';
+import { AgentService } from './AgentService.js';
+import type { AgentSettings } from './AgentSettings.js';
+import { AttemptEndpoint } from './AttemptEndpoint.js';
+import { AttemptRunner } from './AttemptRunner.js';
+import { AttemptTelemetry } from './AttemptTelemetry.js';
+import { HttpBackend } from './backend/HttpBackend.js';
+import { ClaimWriter } from './claims/ClaimWriter.js';
+import { DrainState } from './DrainState.js';
+import { GateActor } from './GateActor.js';
+import type { AgentIdentity } from './Types.js';
+
+/** Interval at which waiting and running attempts are compared with their deadlines. */
+const DEADLINE_CHECK_INTERVAL_MS = 50;
+
+const RETENTION_CHECK_INTERVAL_MS = 1000;
+
+const SHUTDOWN_POLL_MS = 20;
+
+const MS_PER_UINT32 = 2 ** 32;
+
+/** All parts of one agent process. */
+export class AgentProcess {
+  private readonly clock = new SystemClock();
+
+  private readonly identity: AgentIdentity;
+
+  private readonly logger: Logger;
+
+  private readonly metrics = createMetrics();
+
+  private readonly tracing;
+
+  private readonly configuration: ConfigurationFollower;
+
+  private readonly ledger: LedgerWriter;
+
+  private readonly claims: ClaimWriter;
+
+  private readonly backend: HttpBackend;
+
+  private readonly gate: Gate;
+
+  private readonly actor: GateActor;
+
+  private readonly drainState: DrainState;
+
+  private readonly service: AgentService;
+
+  private readonly endpoint: AttemptEndpoint;
+
+  private readonly server: AgentServer;
+
+  private readonly resources: Disposable[] = [];
+
+  private stopping: Promise<void> | null = null;
+
+  /** @param settings - checked settings */
+  constructor(private readonly settings: AgentSettings) {
+    const { clock } = this;
+    const incarnation = randomUUID();
+    const random = new SeededRandom(Number.parseInt(incarnation.slice(0, 8), 16) % MS_PER_UINT32);
+    this.identity = { agentId: settings.id, incarnation, address: settings.address };
+    this.logger = createLogger(settings.id, settings.log.level);
+    this.tracing = createTracing(settings.id, settings.tracing);
+    const store = new HttpTableStore(settings.platform.tableUrl);
+    const objects = new HttpObjectStore(settings.platform.objectUrl);
+    this.configuration = this.createFollower(store, random);
+    this.ledger = new LedgerWriter({
+      store,
+      clock,
+      writer: 'agent',
+      writerId: settings.id,
+      incarnation,
+      flushIntervalMs: settings.ledger.flushIntervalMs,
+      logger: this.logger,
+    });
+    const onForeignChange = (key: string) =>
+      this.logger.warn('claim row was changed by another process', { key });
+    this.claims = new ClaimWriter({ store, objects, clock, random, onForeignChange });
+    this.backend = new HttpBackend(settings.backend.url, clock);
+    const { slots, maxWaiting } = settings.backend;
+    const { retentionMs } = settings.results;
+    this.gate = new Gate({ slots, maxWaiting, retentionMs }, clock);
+    this.actor = this.createActor();
+    this.drainState = new DrainState(settings.backend.id);
+    this.service = new AgentService({
+      settings,
+      identity: this.identity,
+      gate: this.gate,
+      actor: this.actor,
+      drainState: this.drainState,
+      configuration: this.configuration,
+    });
+    this.endpoint = this.createEndpoint();
+    this.server = new AgentServer({
+      internalToken: settings.internalToken,
+      control: this.service,
+      handleAttempt: (request, response) => this.endpoint.handle(request, response),
+      handleMetrics: (request, response) => this.metrics.handle(request, response),
+      isReady: () => this.configuration.ready && this.stopping === null,
+      logger: this.logger,
+    });
+  }
+
+  /**
+   * Starts to listen and to follow the configuration.
+   * @returns what the process prints once it listens
+   */
+  async start(): Promise<{ id: string; address: string; incarnation: string }> {
+    this.identity.address = await this.server.listen(this.settings.address);
+    this.resources.push(
+      this.configuration.onChange((snapshot) => {
+        this.drainState.configure(snapshot);
+        this.service
+          .applyDrainState()
+          .catch((error: unknown) => this.logger.error('drain', { error }));
+      }),
+      repeat(DEADLINE_CHECK_INTERVAL_MS, () => {
+        if (this.gate.active > 0) this.actor.send({ type: 'check-deadlines' });
+      }),
+      repeat(RETENTION_CHECK_INTERVAL_MS, () => this.actor.send({ type: 'expire-retained' })),
+    );
+    this.configuration
+      .start()
+      .catch((error: unknown) => this.logger.error('configuration', { error }));
+    const { agentId, address, incarnation } = this.identity;
+    return { id: agentId, address, incarnation };
+  }
+
+  /**
+   * Drains, lets running attempts finish and hands over their results, writes the ledger and stops.
+   * @returns when everything is stopped, at the shutdown deadline at the latest
+   */
+  stop(): Promise<void> {
+    this.stopping ??= this.shutDown();
+    return this.stopping;
+  }
+
+  private async shutDown(): Promise<void> {
+    const giveUpAt = this.clock.now() + this.settings.shutdown.deadlineMs;
+    this.drainState.shutDown();
+    await this.service.applyDrainState();
+    this.logger.info('draining', { attempts: this.gate.size });
+    const isDone = () => this.gate.size === 0 && this.endpoint.openStreams === 0;
+    while (!isDone() && this.clock.now() < giveUpAt) await sleep(SHUTDOWN_POLL_MS);
+    if (this.gate.size > 0) this.logger.warn('attempts are left', { attempts: this.gate.size });
+    this.actor.send({ type: 'meter-unacknowledged' });
+    await sleep(SHUTDOWN_POLL_MS);
+    await this.flushLedger(giveUpAt);
+    this.resources.forEach((resource) => resource.dispose());
+    this.endpoint.dispose();
+    this.configuration.dispose();
+    this.ledger.dispose();
+    this.claims.dispose();
+    this.actor.dispose();
+    await this.server.close();
+    await this.backend.close();
+    await this.tracing.shutdown();
+    await this.metrics.shutdown();
+  }
+
+  private async flushLedger(giveUpAt: number): Promise<void> {
+    while (!(await this.ledger.flush())) {
+      if (this.clock.now() >= giveUpAt) {
+        this.logger.warn('usage is left unwritten', { counters: this.ledger.size });
+        return;
+      }
+      await sleep(SHUTDOWN_POLL_MS);
+    }
+  }
+
+  private createFollower(store: HttpTableStore, random: SeededRandom): ConfigurationFollower {
+    const { settings } = this;
+    return new ConfigurationFollower({
+      store,
+      clock: this.clock,
+      random,
+      pollIntervalMs: settings.configuration.pollIntervalMs,
+      peers: createPeers({
+        ownId: settings.id,
+        membership: new HttpMembershipList(settings.platform.membershipUrl),
+        addresses: settings.peers,
+        internalToken: settings.internalToken,
+      }),
+      logger: this.logger,
+    });
+  }
+
+  private createActor(): GateActor {
+    const { identity, claims, backend, ledger, clock, logger } = this;
+    const meter = new UsageMeter(identity, clock);
+    const telemetry = new AttemptTelemetry(this.tracing, this.metrics, clock);
+    telemetry.observe(this.gate);
+    const runner = new AttemptRunner(
+      { identity, claims, backend, meter, ledger, telemetry, logger },
+      (message) => actor.send(message),
+    );
+    const actor: GateActor = new GateActor(
+      this.gate,
+      (effect) => runner.handle(effect),
+      this.logger,
+    );
+    return actor;
+  }
+
+  private createEndpoint(): AttemptEndpoint {
+    const { configuration, identity } = this;
+    const clientOf = createClients(this.settings.internalToken);
+    return new AttemptEndpoint({
+      gate: this.actor,
+      configuration,
+      frames: {
+        incarnation: identity.incarnation,
+        notice: () => configuration.notice(),
+        load: () => this.gate.load(),
+      },
+      pullFrom: (attempt: Attempt) => async (after) => {
+        const { sender } = attempt;
+        if (sender === undefined) return [];
+        const since = clientOf(sender).configuration.since;
+        const { changes } = await since.query({ after }, { signal: callSignal() });
+        return changes;
+      },
+    });
+  }
+}
+
+function repeat(intervalMs: number, action: () => void): Disposable {
+  const timer = setInterval(action, intervalMs);
+  return { dispose: () => clearInterval(timer) };
+}
--- /dev/null
+++ b/src/agent/AgentService.ts
@@ -0,0 +1,86 @@
+import type { Gate } from '../common/gate/Gate.js';
+import type { AttemptStatus } from '../common/protocol/Attempt.js';
+import type { Acknowledgement, AgentControl, ServerStatus } from '../common/protocol/Control.js';
+import type { ConfigurationSource } from '../follower/Types.js';
+import type { AgentSettings } from './AgentSettings.js';
+import type { DrainState } from './DrainState.js';
+import type { GateActor, GateMessage } from './GateActor.js';
+import type { AgentIdentity } from './Types.js';
+
+type StateReply = (state: AttemptStatus['state']) => void;
+
+/** Services of {@link AgentService}. */
+export interface AgentServiceParts {
+  readonly settings: AgentSettings;
+  readonly identity: AgentIdentity;
+  /** Only read here; the actor changes it. */
+  readonly gate: Gate;
+  readonly actor: GateActor;
+  readonly drainState: DrainState;
+  readonly configuration: ConfigurationSource;
+}
+
+/** Carries out the control calls of the agent. */
+export class AgentService implements AgentControl {
+  readonly configuration: ConfigurationSource;
+
+  /** @param parts - gate, drain state, configuration */
+  constructor(private readonly parts: AgentServiceParts) {
+    this.configuration = parts.configuration;
+  }
+
+  async status(attemptId: string): Promise<AttemptStatus> {
+    return this.describe((reply) => ({ type: 'status', attemptId, reply }));
+  }
+
+  async voidAttempt(attemptId: string): Promise<AttemptStatus> {
+    return this.describe((reply) => ({ type: 'void', attemptId, reply }));
+  }
+
+  async cancel(attemptId: string): Promise<AttemptStatus> {
+    return this.describe((reply) => ({ type: 'cancel', attemptId, reply }));
+  }
+
+  async acknowledge(attempts: readonly Acknowledgement[]): Promise<void> {
+    this.parts.actor.send({ type: 'acknowledge', attempts });
+  }
+
+  async drain(): Promise<ServerStatus> {
+    this.parts.drainState.command(true);
+    return this.applyDrainState();
+  }
+
+  async resume(): Promise<ServerStatus> {
+    this.parts.drainState.command(false);
+    return this.applyDrainState();
+  }
+
+  /**
+   * Brings the gate into the state that the drain state asks for.
+   * @returns state of the server after it
+   */
+  async applyDrainState(): Promise<ServerStatus> {
+    const { actor, drainState } = this.parts;
+    const type = drainState.isDraining ? 'drain' : 'resume';
+    await actor.ask<void>((reply) => ({ type, reply }));
+    return this.serverStatus();
+  }
+
+  async serverStatus(): Promise<ServerStatus> {
+    const { settings, identity, gate, configuration } = this.parts;
+    return {
+      agentId: settings.id,
+      serverId: settings.backend.id,
+      incarnation: identity.incarnation,
+      pool: settings.backend.pool,
+      failureDomain: settings.failureDomain,
+      load: gate.load(),
+      notice: configuration.notice(),
+    };
+  }
+
+  private async describe(create: (reply: StateReply) => GateMessage): Promise<AttemptStatus> {
+    const state = await this.parts.actor.ask(create);
+    return { incarnation: this.parts.identity.incarnation, state };
+  }
+}
--- /dev/null
+++ b/src/agent/AttemptEndpoint.ts
@@ -0,0 +1,132 @@
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { canonicalJson, sha256 } from '../common/Digest.js';
+import type { Disposable } from '../common/events/Types.js';
+import type { AttemptStream } from '../common/gate/AttemptStream.js';
+import { endedStream, refusal } from '../common/gate/Outcomes.js';
+import { Attempt, HEARTBEAT_INTERVAL_MS } from '../common/protocol/Attempt.js';
+import type { ConfigurationSource } from '../follower/Types.js';
+import { FrameStream, type FrameContext } from './FrameStream.js';
+import type { GateActor } from './GateActor.js';
+import { findInputProblem } from './StageInputs.js';
+
+/** Largest attempt, in bytes; documents of earlier stages are part of it. */
+const MAX_ATTEMPT_BYTES = 8 * 1024 * 1024;
+
+/** Time for which an entry may lag behind a revision that the agent knows; see design section 5. */
+const STALE_REVISION_MS = 4000;
+
+const STATUS_BAD_REQUEST = 400;
+const STATUS_TOO_LARGE = 413;
+
+/** Services of {@link AttemptEndpoint}. */
+export interface AttemptEndpointServices {
+  readonly gate: GateActor;
+  readonly frames: FrameContext;
+  readonly configuration: ConfigurationSource;
+  /** Pulls configuration changes from the entry that sent an attempt. */
+  readonly pullFrom: (attempt: Attempt) => Parameters<ConfigurationSource['hear']>[1];
+}
+
+/** Takes attempts over HTTP and answers with streams of frames. */
+export class AttemptEndpoint implements Disposable {
+  private readonly open = new Set<FrameStream>();
+
+  /** One timer serves all connections; none is silent for more than one interval. */
+  private readonly heartbeats: NodeJS.Timeout;
+
+  /** @param services - gate, configuration and what frames carry */
+  constructor(private readonly services: AttemptEndpointServices) {
+    this.heartbeats = setInterval(() => {
+      for (const stream of this.open) stream.heartbeat();
+    }, HEARTBEAT_INTERVAL_MS);
+  }
+
+  /** @returns number of connections that wait for frames. */
+  get openStreams(): number {
+    return this.open.size;
+  }
+
+  /**
+   * Handles `POST /v1/attempts`.
+   * @param request - authenticated request
+   * @param response - gets the frames
+   */
+  async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const text = await readBody(request);
+    if (text === null) {
+      fail(response, STATUS_TOO_LARGE, 'the attempt is too large');
+      return;
+    }
+    const attempt = parseAttempt(text);
+    if (typeof attempt === 'string') {
+      fail(response, STATUS_BAD_REQUEST, attempt);
+      return;
+    }
+    const stream = await this.submit(attempt);
+    if (response.destroyed) return;
+    const frames: FrameStream = new FrameStream(
+      response,
+      attempt,
+      stream,
+      this.services.frames,
+      () => this.open.delete(frames),
+    );
+    this.open.add(frames);
+    frames.start();
+  }
+
+  dispose(): void {
+    clearInterval(this.heartbeats);
+    for (const stream of [...this.open]) stream.dispose();
+  }
+
+  private submit(attempt: Attempt): AttemptStream | Promise<AttemptStream> {
+    const { configuration, gate, pullFrom } = this.services;
+    const problem = findInputProblem(attempt);
+    if (problem !== null) {
+      return endedStream(refusal('invalid', problem));
+    }
+    configuration.hear(attempt.notice, pullFrom(attempt));
+    const stale = configuration.newerKnownForMs(attempt.notice.revision) > STALE_REVISION_MS;
+    const { operation, input } = attempt;
+    const inputDigest = sha256(canonicalJson({ operation, input }));
+    return gate.ask<AttemptStream>((reply) => ({
+      type: 'submit',
+      attempt,
+      inputDigest,
+      stale,
+      reply,
+    }));
+  }
+}
+
+/** @returns body as text, or null if it is too large */
+async function readBody(request: IncomingMessage): Promise<string | null> {
+  const parts: Buffer[] = [];
+  let length = 0;
+  for await (const part of request as AsyncIterable<Buffer>) {
+    length += part.length;
+    if (length > MAX_ATTEMPT_BYTES) return null;
+    parts.push(part);
+  }
+  return Buffer.concat(parts).toString('utf8');
+}
+
+/** @returns the attempt, or what is wrong with the body */
+function parseAttempt(text: string): Attempt | string {
+  let body: unknown;
+  try {
+    body = JSON.parse(text);
+  } catch {
+    return 'the body is not JSON';
+  }
+  const parsed = Attempt.safeParse(body);
+  if (parsed.success) return parsed.data;
+  const issue = parsed.error.issues[0]!;
+  return `${issue.path.join('.')}: ${issue.message}`;
+}
+
+function fail(response: ServerResponse, status: number, message: string): void {
+  response.writeHead(status, { 'content-type': 'application/json', connection: 'close' });
+  response.end(JSON.stringify({ error: { kind: 'bad-request', message } }));
+}
--- /dev/null
+++ b/src/agent/AttemptRunner.ts
@@ -0,0 +1,130 @@
+import type { GateEntry } from '../common/gate/GateEntry.js';
+import type { Chunk, ClaimTarget, GateEffect, RunEnd } from '../common/gate/Types.js';
+import type { UsageMeter } from '../common/gate/UsageMeter.js';
+import { claimKey, type Claim } from '../common/protocol/Claim.js';
+import { NO_USAGE, type UsageClass } from '../common/protocol/Usage.js';
+import type { Logger } from '../telemetry/Logger.js';
+import type { AttemptTelemetry } from './AttemptTelemetry.js';
+import type { GateMessage } from './GateActor.js';
+import type { AgentIdentity, Backend, ClaimStore, UsageLedger } from './Types.js';
+
+/** Services that carry out effects of the gate. */
+export interface AttemptRunnerServices {
+  readonly identity: AgentIdentity;
+  readonly claims: ClaimStore;
+  readonly backend: Backend;
+  readonly meter: UsageMeter;
+  readonly ledger: UsageLedger;
+  readonly telemetry: AttemptTelemetry;
+  readonly logger: Logger;
+}
+
+type EffectHandlers = {
+  readonly [K in GateEffect['kind']]: (effect: Extract<GateEffect, { kind: K }>) => void;
+};
+
+/** Carries out effects of the gate: claims, backend calls, usage. Reports their ends to the gate. */
+export class AttemptRunner {
+  private readonly aborts = new Map<string, AbortController>();
+
+  private readonly handlers: EffectHandlers = {
+    claim: ({ entry }) => this.claim(entry),
+    replay: ({ entry }) => this.replay(entry),
+    run: ({ entry }) => this.run(entry),
+    abort: ({ entry, reason }) => this.aborts.get(entry.id)?.abort(reason),
+    'settle-claim': ({ entry, target }) => this.settle(entry, target),
+    meter: ({ entry, usageClass }) => this.record(entry, usageClass),
+    ended: ({ entry }) => this.services.telemetry.attemptEnded(entry),
+  };
+
+  /**
+   * @param services - claims, backend server, ledger
+   * @param send - sends a message to the gate
+   */
+  constructor(
+    private readonly services: AttemptRunnerServices,
+    private readonly send: (message: GateMessage) => void,
+  ) {}
+
+  /** @param effect - what the gate asks for */
+  handle(effect: GateEffect): void {
+    this.handlers[effect.kind](effect as never);
+  }
+
+  private claim(entry: GateEntry): void {
+    const { attempt, deadline } = entry;
+    const request = {
+      key: rowKey(entry),
+      claim: this.claimOf(entry),
+      replaces: attempt.replacesClaim,
+      deadline,
+    };
+    this.services.claims.acquire(request).then(
+      (end) => this.send({ type: 'claim-ended', entry, end }),
+      (error: unknown) => {
+        // An unexpected error does not tell whether the row was written.
+        const end = { kind: 'unavailable', message: String(error), mayExist: true } as const;
+        this.send({ type: 'claim-ended', entry, end });
+      },
+    );
+  }
+
+  private replay(entry: GateEntry): void {
+    this.services.claims.replay(rowKey(entry), this.claimOf(entry)).then(
+      (output) => this.send({ type: 'replay-ended', entry, output }),
+      () => this.send({ type: 'replay-ended', entry, output: null }),
+    );
+  }
+
+  private run(entry: GateEntry): void {
+    const abort = new AbortController();
+    this.aborts.set(entry.id, abort);
+    const call = {
+      attempt: entry.attempt,
+      signal: abort.signal,
+      nextOffset: () => entry.stream.chunks.length,
+      append: (offset: number, chunk: Chunk) => entry.stream.append(offset, chunk),
+    };
+    const end = (runEnd: RunEnd) => {
+      this.aborts.delete(entry.id);
+      this.send({ type: 'run-ended', entry, end: runEnd });
+    };
+    this.services.backend.run(call).then(end, (error: unknown) => {
+      const usage = { ...NO_USAGE, calls: 1 };
+      end({ kind: 'lost', message: String(error), usage });
+    });
+  }
+
+  private settle(entry: GateEntry, target: ClaimTarget): void {
+    const { outcome } = entry.stream;
+    const output = outcome?.type === 'result' ? outcome.output : undefined;
+    this.services.claims.settle(rowKey(entry), this.claimOf(entry), target, output).then(
+      () => this.send({ type: 'claim-settled', entry }),
+      (error: unknown) => this.services.logger.error('claim not settled', { error }),
+    );
+  }
+
+  private record(entry: GateEntry, usageClass: UsageClass): void {
+    const usage = this.services.meter.entryOf(entry, usageClass);
+    if (usage) this.services.ledger.record(usage);
+  }
+
+  private claimOf(entry: GateEntry): Claim {
+    const { agentId, incarnation, address } = this.services.identity;
+    const { attemptId, requestId } = entry.attempt;
+    const { inputDigest } = entry;
+    return {
+      state: 'claimed',
+      attemptId,
+      agentId,
+      incarnation,
+      address,
+      inputDigest,
+      requestId,
+    };
+  }
+}
+
+function rowKey({ attempt }: GateEntry): string {
+  return claimKey(attempt.account, attempt.idempotencyKey ?? '', attempt.stage);
+}
--- /dev/null
+++ b/src/agent/FrameStream.ts
@@ -0,0 +1,104 @@
+import type { ServerResponse } from 'node:http';
+import type { AttemptStream } from '../common/gate/AttemptStream.js';
+import type { Outcome } from '../common/gate/Types.js';
+import type { Attempt, Frame, Load, RevisionNotice } from '../common/protocol/Attempt.js';
+import type { Disposable } from '../common/events/Types.js';
+
+/** What every frame carries besides its own fields. */
+export interface FrameContext {
+  readonly incarnation: string;
+  notice(): RevisionNotice;
+  load(): Load;
+}
+
+type Body = Frame extends infer F
+  ? F extends Frame
+    ? Omit<F, 'attemptId' | 'incarnation' | 'notice' | 'load'>
+    : never
+  : never;
+
+/**
+ * Writes the frames of one attempt to one connection, from the chunk asked for. Chunks wait in the
+ * attempt's stream while the connection does not take more, so a slow reader costs no extra memory.
+ */
+export class FrameStream implements Disposable {
+  private subscription: Disposable | null = null;
+
+  private nextOffset: number;
+
+  private blocked = false;
+
+  private closed = false;
+
+  /**
+   * @param response - open response
+   * @param attempt - attempt as this connection sent it
+   * @param stream - output of the attempt
+   * @param context - incarnation, configuration notice, load
+   * @param onClose - called once, after the final frame or a break of the connection
+   */
+  constructor(
+    private readonly response: ServerResponse,
+    private readonly attempt: Attempt,
+    private readonly stream: AttemptStream,
+    private readonly context: FrameContext,
+    private readonly onClose: () => void,
+  ) {
+    this.nextOffset = attempt.resumeFrom;
+  }
+
+  /** Writes what there is and then each new frame. */
+  start(): void {
+    this.subscription = this.stream.subscribe(() => this.pump());
+    this.response.on('drain', () => this.resume());
+    this.response.on('close', () => this.dispose());
+    this.response.writeHead(200, { 'content-type': 'application/x-ndjson' });
+    if (this.stream.outcome?.type !== 'refused') this.write({ type: 'accepted' });
+    this.pump();
+  }
+
+  /** Writes a heartbeat, so that the entry knows that the connection works. */
+  heartbeat(): void {
+    if (!this.closed && !this.blocked) this.write({ type: 'heartbeat' });
+  }
+
+  dispose(): void {
+    if (this.closed) return;
+    this.closed = true;
+    this.subscription?.dispose();
+    this.onClose();
+  }
+
+  private resume(): void {
+    this.blocked = false;
+    this.pump();
+  }
+
+  private pump(): void {
+    const { chunks, outcome } = this.stream;
+    while (!this.closed && !this.blocked && this.nextOffset < chunks.length) {
+      const offset = this.nextOffset;
+      this.nextOffset += 1;
+      this.write({ type: 'chunk', offset, ...chunks[offset]! });
+    }
+    const isComplete = this.nextOffset >= chunks.length;
+    if (this.closed || this.blocked || !outcome || !isComplete) return;
+    this.write(this.finalFrame(outcome));
+    this.response.end();
+    this.dispose();
+  }
+
+  private finalFrame(outcome: Outcome): Body {
+    if (outcome.type !== 'result') return outcome;
+    const { requestId, account, stage } = this.attempt;
+    return { ...outcome, requestId, account, stage, chunks: this.stream.chunks.length };
+  }
+
+  private write(body: Body): void {
+    const { incarnation } = this.context;
+    const { attemptId } = this.attempt;
+    const notice = this.context.notice();
+    const frame = { ...body, attemptId, incarnation, notice, load: this.context.load() };
+    this.blocked = !this.response.write(`${JSON.stringify(frame)}\n`);
+  }
+}
--- /dev/null
+++ b/src/agent/backend/BackendClient.ts
@@ -0,0 +1,158 @@
+import { Pool, type Dispatcher } from 'undici';
+import {
+  ATTEMPT_ID_HEADER,
+  CLIENT_ACCOUNT_HEADER,
+  IDEMPOTENCY_KEY_HEADER,
+  REQUEST_ID_HEADER,
+} from '../../common/protocol/Backend.js';
+import type { Attempt } from '../../common/protocol/Attempt.js';
+
+/** Time within which a connection to the backend server has to stand; it is one process away. */
+const CONNECT_TIMEOUT_MS = 1000;
+
+/** Error codes after which certainly no byte of the call was sent. */
+const UNREACHABLE_CODES: ReadonlySet<unknown> = new Set([
+  'ECONNREFUSED',
+  'EHOSTUNREACH',
+  'ENETUNREACH',
+  'ENOTFOUND',
+  'EAI_AGAIN',
+  'UND_ERR_CONNECT_TIMEOUT',
+]);
+
+/** Errors of the backend layer. */
+export type BackendError =
+  /** No byte of the call was sent. */
+  | { readonly kind: 'unreachable'; readonly message: string }
+  /** The call may have been carried out; no complete answer came. */
+  | { readonly kind: 'lost'; readonly message: string }
+  /** The signal stopped the call. */
+  | { readonly kind: 'aborted'; readonly message: string }
+  /** Answer with an error status. */
+  | { readonly kind: 'status'; readonly status: number; readonly message: string }
+  /** The answer does not follow the protocol. */
+  | { readonly kind: 'malformed'; readonly message: string };
+
+/** Value or tagged error of a call. */
+export type BackendResult<T> =
+  { readonly ok: true; readonly value: T } | { readonly ok: false; readonly error: BackendError };
+
+/** Response with a JSON body. */
+export interface JsonAnswer {
+  readonly body: unknown;
+  readonly headers: Dispatcher.ResponseData['headers'];
+}
+
+/** HTTP client of one backend server. */
+export class BackendClient {
+  private readonly pool: Pool;
+
+  /**
+   * Calls that must not be repeated get a new connection each: a reused one may be closed by the
+   * server at the same moment, and then it is unknown whether the call arrived.
+   */
+  private readonly freshPool: Pool;
+
+  private readonly pathPrefix: string;
+
+  /** @param baseUrl - URL of the backend server */
+  constructor(baseUrl: string) {
+    const { origin, pathname } = new URL(baseUrl);
+    const options: Pool.Options = {
+      connect: { timeout: CONNECT_TIMEOUT_MS },
+      // The gate stops calls at their deadline through the signal.
+      headersTimeout: 0,
+      bodyTimeout: 0,
+    };
+    this.pathPrefix = pathname.replace(/\/$/, '');
+    this.pool = new Pool(origin, options);
+    this.freshPool = new Pool(origin, options);
+  }
+
+  /**
+   * Posts a JSON body.
+   * @param attempt - attempt that the call is part of
+   * @param path - path below the base URL
+   * @param body - JSON value
+   * @param signal - stops the call
+   * @returns response before its body was read
+   */
+  async post(
+    attempt: Attempt,
+    path: string,
+    body: unknown,
+    signal: AbortSignal,
+  ): Promise<BackendResult<Dispatcher.ResponseData>> {
+    const { idempotent } = attempt;
+    try {
+      const response = await (idempotent ? this.pool : this.freshPool).request({
+        method: 'POST',
+        path: `${this.pathPrefix}${path}`,
+        headers: headersOf(attempt),
+        body: JSON.stringify(body),
+        signal,
+        reset: !idempotent,
+        idempotent: false,
+      });
+      if (response.statusCode < 300) return { ok: true, value: response };
+      const text = await response.body.text();
+      const message = `status ${response.statusCode}: ${text.slice(0, 200)}`;
+      return { ok: false, error: { kind: 'status', status: response.statusCode, message } };
+    } catch (error) {
+      return { ok: false, error: classify(error, signal) };
+    }
+  }
+
+  /**
+   * Posts a JSON body and reads a JSON answer.
+   * @returns parsed body and headers
+   */
+  async postForJson(
+    attempt: Attempt,
+    path: string,
+    body: unknown,
+    signal: AbortSignal,
+  ): Promise<BackendResult<JsonAnswer>> {
+    const response = await this.post(attempt, path, body, signal);
+    if (!response.ok) return response;
+    try {
+      const text = await response.value.body.text();
+      return { ok: true, value: { body: JSON.parse(text), headers: response.value.headers } };
+    } catch (error) {
+      if (!(error instanceof SyntaxError)) return { ok: false, error: classify(error, signal) };
+      return { ok: false, error: { kind: 'malformed', message: 'the answer is not JSON' } };
+    }
+  }
+
+  /** Closes all connections. */
+  async close(): Promise<void> {
+    await Promise.all([this.pool.destroy(), this.freshPool.destroy()]);
+  }
+}
+
+/**
+ * @param error - error thrown by undici
+ * @param signal - signal of the call
+ * @returns tagged error
+ */
+export function classify(error: unknown, signal: AbortSignal): BackendError {
+  const message = error instanceof Error ? error.message : String(error);
+  const { code } = error as { code?: unknown };
+  if (UNREACHABLE_CODES.has(code)) return { kind: 'unreachable', message: `${code}` };
+  if (signal.aborted) return { kind: 'aborted', message: String(signal.reason) };
+  return { kind: 'lost', message };
+}
+
+function headersOf(attempt: Attempt): Record<string, string> {
+  const headers: Record<string, string> = {
+    'content-type': 'application/json',
+    [REQUEST_ID_HEADER]: attempt.requestId,
+    [ATTEMPT_ID_HEADER]: attempt.attemptId,
+    [CLIENT_ACCOUNT_HEADER]: attempt.account,
+  };
+  if (attempt.idempotencyKey !== undefined) {
+    headers[IDEMPOTENCY_KEY_HEADER] = encodeURIComponent(attempt.idempotencyKey);
+  }
+  if (attempt.traceparent !== undefined) headers.traceparent = attempt.traceparent;
+  return headers;
+}
--- /dev/null
+++ b/src/agent/backend/GenerateHandler.ts
@@ -0,0 +1,109 @@
+/** Streams a completion from a model engine and resumes it on a new connection if it breaks off. */
+import type { Dispatcher } from 'undici';
+import { CompletionChunk, type CompletionRequest } from '../../common/protocol/Backend.js';
+import { GenerateInput } from '../../common/protocol/StageData.js';
+import type { BackendCall } from '../Types.js';
+import { classify, type BackendClient, type BackendResult } from './BackendClient.js';
+import { readEventData } from './ServerSentEvents.js';
+import { usageOf } from './ReportedUsage.js';
+import type { StageOutput } from './Types.js';
+
+/** Connections made for one completion, the first included. */
+const MAX_CONNECTIONS = 4;
+
+/**
+ * Silence after which a stream that has begun is resumed on a new connection. At the design size 95 in
+ * 100 tokens come at most 58 ms after the one before.
+ */
+const STALL_TIMEOUT_MS = 2000;
+
+const END_OF_STREAM = '[DONE]';
+
+/** What one connection gave: `usage` is set once the stream is complete. */
+type Part = BackendResult<StageOutput['usage'] | null>;
+
+/**
+ * @param call - attempt of kind `generate`
+ * @param client - client of the engine
+ * @returns whole text and usage
+ */
+export async function generate(
+  call: BackendCall,
+  client: BackendClient,
+): Promise<BackendResult<StageOutput>> {
+  const text: string[] = [];
+  let part: Part = { ok: true, value: null };
+  for (let connection = 0; connection < MAX_CONNECTIONS; connection += 1) {
+    part = await readPart(call, client, text);
+    if (part.ok && part.value) {
+      return { ok: true, value: { output: { text: text.join('') }, usage: part.value } };
+    }
+    if (!part.ok && part.error.kind !== 'lost') return part;
+  }
+  return part.ok ? lost('the stream ended early') : part;
+}
+
+async function readPart(call: BackendCall, client: BackendClient, text: string[]): Promise<Part> {
+  const stall = new AbortController();
+  const signal = AbortSignal.any([call.signal, stall.signal]);
+  const response = await client.post(call.attempt, '/v1/completions', requestOf(call), signal);
+  if (!response.ok) return response;
+  let timer: NodeJS.Timeout | undefined;
+  try {
+    return await readChunks(call, response.value.body, text, () => {
+      clearTimeout(timer);
+      timer = setTimeout(() => stall.abort('stalled'), STALL_TIMEOUT_MS);
+    });
+  } catch (error) {
+    if (stall.signal.aborted && !call.signal.aborted) return lost('the stream stalled');
+    if (isBadAnswer(error))
+      return { ok: false, error: { kind: 'malformed', message: error.message } };
+    return { ok: false, error: classify(error, call.signal) };
+  } finally {
+    clearTimeout(timer);
+  }
+}
+
+async function readChunks(
+  call: BackendCall,
+  body: Dispatcher.ResponseData['body'],
+  text: string[],
+  onProgress: () => void,
+): Promise<Part> {
+  let usage: StageOutput['usage'] | null = null;
+  for await (const data of readEventData(body)) {
+    onProgress();
+    if (data === END_OF_STREAM) break;
+    const chunk = CompletionChunk.parse(JSON.parse(data));
+    if (chunk.usage) usage = usageOf(chunk.usage);
+    const piece = chunk.choices[0]?.text ?? '';
+    const isNew = chunk.offset === call.nextOffset();
+    // The event with the usage may have no text; it is no chunk then.
+    if (piece === '' && chunk.usage) continue;
+    if (!call.append(chunk.offset, { text: piece, tokens: chunk.tokens })) return lost('a gap');
+    if (isNew) text.push(piece);
+  }
+  return { ok: true, value: usage };
+}
+
+function requestOf(call: BackendCall): CompletionRequest {
+  const { prompt, documents, maxTokens } = GenerateInput.parse(call.attempt.input);
+  const parts = [prompt, ...(documents ?? []).map((document) => document.text)];
+  return {
+    model: call.attempt.model ?? '',
+    prompt: parts.join('\n\n'),
+    max_tokens: maxTokens,
+    stream: true,
+    priority: call.attempt.priority,
+    request_id: call.attempt.attemptId,
+    resume_from: call.nextOffset(),
+  };
+}
+
+function lost(message: string): { ok: false; error: { kind: 'lost'; message: string } } {
+  return { ok: false, error: { kind: 'lost', message } };
+}
+
+function isBadAnswer(error: unknown): error is Error {
+  return error instanceof Error && (error.name === 'ZodError' || error instanceof SyntaxError);
+}
--- /dev/null
+++ b/src/agent/backend/HttpBackend.ts
@@ -0,0 +1,69 @@
+import type { RunEnd } from '../../common/gate/Types.js';
+import type { Clock } from '../../common/time/Types.js';
+import type { Usage } from '../../common/protocol/Usage.js';
+import type { Backend, BackendCall } from '../Types.js';
+import { BackendClient, type BackendError, type BackendResult } from './BackendClient.js';
+import { STAGE_HANDLERS } from './StageHandlers.js';
+import type { StageOutput } from './Types.js';
+
+const FIRST_SERVER_ERROR_STATUS = 500;
+
+/** Runs attempts on a backend server over HTTP. */
+export class HttpBackend implements Backend {
+  private readonly client: BackendClient;
+
+  /**
+   * @param baseUrl - URL of the backend server
+   * @param clock - measures busy time if the server does not report it
+   */
+  constructor(
+    baseUrl: string,
+    private readonly clock: Clock,
+  ) {
+    this.client = new BackendClient(baseUrl);
+  }
+
+  async run(call: BackendCall): Promise<RunEnd> {
+    const startedAt = this.clock.now();
+    const result = await this.handle(call);
+    const busyMs = this.clock.now() - startedAt;
+    if (!result.ok)
+      return endOfError(result.error, call, { ...oneCall(call), acceleratorMs: busyMs });
+    const { output, usage } = result.value;
+    return {
+      kind: 'done',
+      output: JSON.stringify(output),
+      usage: { acceleratorMs: busyMs, tokensIn: 0, tokensOut: 0, calls: 1, ...usage },
+    };
+  }
+
+  /** Closes all connections. */
+  close(): Promise<void> {
+    return this.client.close();
+  }
+
+  private async handle(call: BackendCall): Promise<BackendResult<StageOutput>> {
+    try {
+      return await STAGE_HANDLERS[call.attempt.kind](call, this.client);
+    } catch (error) {
+      const message = error instanceof Error ? error.message : String(error);
+      return { ok: false, error: { kind: 'malformed', message } };
+    }
+  }
+}
+
+function oneCall(call: BackendCall): Usage {
+  return { acceleratorMs: 0, tokensIn: 0, tokensOut: call.nextOffset(), calls: 1 };
+}
+
+/**
+ * A server error does not tell whether the work was done, so a non-idempotent call that got one has an
+ * unknown outcome. A client error (4xx) says that the server declined the call.
+ */
+function endOfError(error: BackendError, call: BackendCall, usage: Usage): RunEnd {
+  const { message } = error;
+  if (error.kind === 'unreachable') return { kind: 'unreachable', message };
+  const isDeclined = error.kind === 'status' && error.status < FIRST_SERVER_ERROR_STATUS;
+  const isCertain = call.attempt.idempotent ? error.kind !== 'lost' : isDeclined;
+  return { kind: isCertain ? 'failed' : 'lost', message, usage };
+}
--- /dev/null
+++ b/src/agent/backend/StageHandlers.ts
@@ -0,0 +1,87 @@
+/** Backend protocols by stage kind. */
+import type { z } from 'zod';
+import {
+  EmbeddingRequest,
+  EmbeddingResponse,
+  RerankRequest,
+  RerankResponse,
+  SERVICE_MS_HEADER,
+  SearchRequest,
+  SearchResponse,
+} from '../../common/protocol/Backend.js';
+import type { StageKind } from '../../common/protocol/Attempt.js';
+import {
+  CallInput,
+  EncodeInput,
+  RerankInput,
+  RetrieveInput,
+} from '../../common/protocol/StageData.js';
+import type { BackendCall } from '../Types.js';
+import type { BackendClient, BackendResult, JsonAnswer } from './BackendClient.js';
+import { generate } from './GenerateHandler.js';
+import { usageOf } from './ReportedUsage.js';
+import type { StageHandler } from './Types.js';
+
+/** Handler of each stage kind. */
+export const STAGE_HANDLERS: Readonly<Record<StageKind, StageHandler>> = {
+  encode: async (call, client) => {
+    const { text } = EncodeInput.parse(call.attempt.input);
+    const body: z.infer<typeof EmbeddingRequest> = { model: call.attempt.model, input: text };
+    return mapAnswer(await postJson(call, client, '/v1/embeddings', body), (answer) => {
+      const { data, usage } = EmbeddingResponse.parse(answer.body);
+      return { output: { vector: data[0]!.embedding }, usage: usageOf(usage) };
+    });
+  },
+
+  retrieve: async (call, client) => {
+    const body: z.infer<typeof SearchRequest> = RetrieveInput.parse(call.attempt.input);
+    return mapAnswer(await postJson(call, client, '/v1/search', body), (answer) => {
+      const { documents, usage } = SearchResponse.parse(answer.body);
+      return { output: { documents }, usage: usageOf(usage) };
+    });
+  },
+
+  rerank: async (call, client) => {
+    const { query, documents, limit } = RerankInput.parse(call.attempt.input);
+    const body: z.infer<typeof RerankRequest> = {
+      model: call.attempt.model,
+      query,
+      documents: documents.map((document) => document.text),
+      top_n: limit,
+    };
+    return mapAnswer(await postJson(call, client, '/v1/rerank', body), (answer) => {
+      const { results, usage } = RerankResponse.parse(answer.body);
+      const ranked = results.slice(0, limit).flatMap(({ index }) => documents[index] ?? []);
+      return { output: { documents: ranked }, usage: usageOf(usage) };
+    });
+  },
+
+  generate,
+
+  call: async (call, client) => {
+    const { body } = CallInput.parse(call.attempt.input);
+    const path = `/${encodeURIComponent(call.attempt.operation ?? '')}`;
+    return mapAnswer(await postJson(call, client, path, body ?? {}), (answer) => {
+      const serviceMs = Number(answer.headers[SERVICE_MS_HEADER] ?? Number.NaN);
+      const usage = serviceMs >= 0 ? { acceleratorMs: serviceMs } : {};
+      return { output: { body: answer.body }, usage };
+    });
+  },
+};
+
+/** A broken connection is tried once more if the call may be repeated; idle ones break at reuse. */
+async function postJson(
+  call: BackendCall,
+  client: BackendClient,
+  path: string,
+  body: unknown,
+): Promise<BackendResult<JsonAnswer>> {
+  const { attempt, signal } = call;
+  const first = await client.postForJson(attempt, path, body, signal);
+  const isRepeatable = attempt.idempotent && !first.ok && first.error.kind === 'lost';
+  return isRepeatable ? client.postForJson(attempt, path, body, signal) : first;
+}
+
+function mapAnswer<T, U>(result: BackendResult<T>, map: (value: T) => U): BackendResult<U> {
+  return result.ok ? { ok: true, value: map(result.value) } : result;
+}
--- /dev/null
+++ b/src/agent/claims/ClaimWriter.ts
@@ -0,0 +1,236 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+import { sha256 } from '../../common/Digest.js';
+import type { ClaimEnd, ClaimTarget } from '../../common/gate/Types.js';
+import {
+  CLAIM_INLINE_RESULT_BYTES,
+  CLAIM_TABLE,
+  Claim,
+  isSameHolder,
+} from '../../common/protocol/Claim.js';
+import type { Clock, RandomSource } from '../../common/time/Types.js';
+import type { ObjectStore, PlatformError, Row, TableStore } from '../../platform/Types.js';
+import type { ClaimRequest, ClaimStore } from '../Types.js';
+import { RowBatcher } from './RowBatcher.js';
+
+/** Bound of one call to the table service or the object store. */
+const CALL_TIMEOUT_MS = 1000;
+
+/** An insert that certainly wrote nothing is tried once more before the attempt is refused. */
+const MAX_UNAVAILABLE_TRIES = 2;
+
+const ACQUIRE_RETRY_MS = 20;
+const SETTLE_RETRY_MIN_MS = 100;
+const SETTLE_RETRY_MAX_MS = 2000;
+
+/** Services that the claim writer uses. */
+export interface ClaimWriterServices {
+  readonly store: TableStore;
+  readonly objects: ObjectStore;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  /** Called when a row of this holder was changed by another process. */
+  readonly onForeignChange?: (key: string, current: Claim) => void;
+  /** Waits; replaced in tests. */
+  readonly delay?: (ms: number) => Promise<unknown>;
+}
+
+/** What to do about the row that stands in the way of an insert. */
+type Verdict = ClaimEnd | { readonly kind: 'take-over' };
+
+/**
+ * Writes claim rows. A holder claims a key at most once: after its row went `void` it never claims
+ * again, so a row equal to one seen before has not been held by another in between.
+ */
+export class ClaimWriter implements ClaimStore {
+  private readonly batcher: RowBatcher;
+
+  /** Versions of rows acquired here, by key and attempt. */
+  private readonly versions = new Map<string, number>();
+
+  private readonly delay: (ms: number) => Promise<unknown>;
+
+  private disposed = false;
+
+  /** @param services - store, object store, clock, randomness */
+  constructor(private readonly services: ClaimWriterServices) {
+    this.batcher = new RowBatcher(services.store, CALL_TIMEOUT_MS);
+    this.delay = services.delay ?? ((ms) => sleep(ms, undefined, { ref: false }));
+  }
+
+  /**
+   * Inserts the row if it is absent, or takes it over if it is `void` or the entry settled it. After a
+   * lost answer the write is repeated: it fails on the row that is there, which is read that way
+   * without the staleness of a plain read.
+   */
+  async acquire(request: ClaimRequest): Promise<ClaimEnd> {
+    const { key, claim } = request;
+    let version = 0;
+    let mayExist = false;
+    let unavailableTries = 0;
+    while (!this.disposed && this.services.clock.now() < request.deadline) {
+      const result = await this.batcher.write({ table: CLAIM_TABLE, key, version, value: claim });
+      if (result.ok) return this.acquired(request, result.value);
+      const { error } = result;
+      if (error.kind === 'conflict') {
+        const verdict = await this.judge(request, error.current);
+        if (verdict.kind === 'acquired') return this.acquired(request, error.current);
+        if (verdict.kind !== 'take-over') return verdict;
+        version = error.current.version;
+        continue;
+      }
+      if (error.kind === 'ambiguous') mayExist = true;
+      if (error.kind === 'unavailable') unavailableTries += 1;
+      if (!mayExist && unavailableTries >= MAX_UNAVAILABLE_TRIES) {
+        return unavailable(error.message, false);
+      }
+      await this.delay(ACQUIRE_RETRY_MS);
+    }
+    return unavailable('the table service gave no answer in time', mayExist);
+  }
+
+  async settle(key: string, claim: Claim, target: ClaimTarget, output?: string): Promise<boolean> {
+    const value = await this.finalValue(key, claim, target, output);
+    const versionKey = versionKeyOf(key, claim);
+    let version = this.versions.get(versionKey) ?? 0;
+    let retryMs = SETTLE_RETRY_MIN_MS;
+    while (!this.disposed) {
+      const result = await this.batcher.write({ table: CLAIM_TABLE, key, version, value });
+      if (result.ok || result.error.kind === 'conflict') {
+        const settled = result.ok || this.isSettled(key, value, result.error as Conflict);
+        if (typeof settled === 'boolean') {
+          this.versions.delete(versionKey);
+          return settled;
+        }
+        version = settled.version;
+      } else {
+        await this.delay(this.jitter(retryMs));
+        retryMs = Math.min(retryMs * 2, SETTLE_RETRY_MAX_MS);
+      }
+    }
+    return false;
+  }
+
+  async replay(key: string, claim: Claim): Promise<string | null> {
+    const result = await this.services.store.read([{ table: CLAIM_TABLE, key }], {
+      timeoutMs: CALL_TIMEOUT_MS,
+    });
+    const row = result.ok ? parseClaim(result.value[0]) : null;
+    if (!row || row.state !== 'done' || row.inputDigest !== claim.inputDigest) return null;
+    return this.storedOutput(row);
+  }
+
+  /** Stops repeating writes. */
+  dispose(): void {
+    this.disposed = true;
+  }
+
+  private acquired(request: ClaimRequest, row: Row): ClaimEnd {
+    this.versions.set(versionKeyOf(request.key, request.claim), row.version);
+    return { kind: 'acquired' };
+  }
+
+  private async judge(request: ClaimRequest, row: Row): Promise<Verdict> {
+    const current = parseClaim(row);
+    if (!current) {
+      if (row.version === 0) return { kind: 'take-over' };
+      return unavailable('the claim row is not readable', false);
+    }
+    if (current.inputDigest !== request.claim.inputDigest) {
+      return { kind: 'key-reused', claim: current };
+    }
+    if (current.state === 'done') return this.judgeDone(current);
+    return isSameHolder(current, request.claim)
+      ? OWN_ROW[current.state]
+      : judgeForeign(current, request);
+  }
+
+  private async judgeDone(current: Claim): Promise<Verdict> {
+    const output = await this.storedOutput(current);
+    if (output !== null) return { kind: 'replay', output };
+    return unavailable('the stored result could not be read', false);
+  }
+
+  private async storedOutput(claim: Claim): Promise<string | null> {
+    if (claim.output !== undefined) return claim.output;
+    if (claim.outputObject === undefined) return null;
+    const result = await this.services.objects.get(claim.outputObject, {
+      timeoutMs: CALL_TIMEOUT_MS,
+    });
+    return result.ok ? result.value : null;
+  }
+
+  private async finalValue(
+    key: string,
+    claim: Claim,
+    target: ClaimTarget,
+    output: string | undefined,
+  ): Promise<Claim> {
+    const value: Claim = { ...claim, state: target };
+    if (target !== 'done' || output === undefined) return value;
+    if (Buffer.byteLength(output, 'utf8') <= CLAIM_INLINE_RESULT_BYTES) return { ...value, output };
+    const outputObject = `claim-${sha256(versionKeyOf(key, claim))}`;
+    await this.putObject(outputObject, output);
+    return { ...value, outputObject };
+  }
+
+  private async putObject(objectKey: string, body: string): Promise<void> {
+    let retryMs = SETTLE_RETRY_MIN_MS;
+    while (!this.disposed) {
+      const options = { timeoutMs: CALL_TIMEOUT_MS };
+      const result = await this.services.objects.put(objectKey, body, options);
+      if (result.ok) return;
+      await this.delay(this.jitter(retryMs));
+      retryMs = Math.min(retryMs * 2, SETTLE_RETRY_MAX_MS);
+    }
+  }
+
+  /**
+   * Judges the row that stands in the way of the final state. An absent row is written too, so that an
+   * insert of this holder that is still on its way fails.
+   * @returns whether the row has the final state, or the version to swap next
+   */
+  private isSettled(key: string, value: Claim, { current }: Conflict): boolean | Row {
+    const claim = parseClaim(current);
+    if (!claim) return current;
+    if (isSameHolder(claim, value)) {
+      if (claim.state === value.state) return true;
+      if (claim.state === 'claimed') return current;
+    }
+    this.services.onForeignChange?.(key, claim);
+    return false;
+  }
+
+  private jitter(ms: number): number {
+    return ms * (0.5 + this.services.random.next());
+  }
+}
+
+type Conflict = Extract<PlatformError, { kind: 'conflict' }>;
+
+/** Verdict on a row of this very holder, by its state. `done` is judged for all holders alike. */
+const OWN_ROW: Readonly<Record<Exclude<Claim['state'], 'done'>, Verdict>> = {
+  claimed: { kind: 'acquired' },
+  void: { kind: 'given-up' },
+  unknown: { kind: 'outcome-unknown' },
+};
+
+/** A `void` row did not run and its holder never claims again, so anyone may take it over. */
+function judgeForeign(current: Claim, { replaces }: ClaimRequest): Verdict {
+  if (current.state === 'void') return { kind: 'take-over' };
+  const isReplaceable = replaces?.state === 'claimed' && current.state === 'claimed';
+  if (isReplaceable && isSameHolder(current, replaces)) return { kind: 'take-over' };
+  return { kind: 'claimed', claim: current };
+}
+
+function parseClaim(row: Row | undefined): Claim | null {
+  const parsed = Claim.safeParse(row?.value);
+  return parsed.success ? parsed.data : null;
+}
+
+function versionKeyOf(key: string, claim: Claim): string {
+  return `${key}\n${claim.attemptId}`;
+}
+
+function unavailable(message: string, mayExist: boolean): ClaimEnd {
+  return { kind: 'unavailable', message, mayExist };
+}
--- /dev/null
+++ b/src/agent/claims/RowBatcher.ts
@@ -0,0 +1,121 @@
+import type { PlatformResult, Row, RowAddress, TableStore } from '../../platform/Types.js';
+
+/** Swap of one row: write `value` if the row has `version` (0: is absent). */
+export interface RowSwap extends RowAddress {
+  readonly version: number;
+  readonly value: unknown;
+}
+
+/** Largest number of rows in one transaction. */
+const MAX_BATCH_ROWS = 64;
+
+/** A second transaction may go out while one is in flight, so that one slow call does not stop all. */
+const MAX_IN_FLIGHT = 2;
+
+interface Waiting {
+  readonly swap: RowSwap;
+  readonly resolve: (result: PlatformResult<Row>) => void;
+}
+
+/** Group commit: swaps that wait at the same time go to the store in one transaction. */
+export class RowBatcher {
+  private waiting: Waiting[] = [];
+
+  private inFlight = 0;
+
+  /**
+   * @param store - table service
+   * @param timeoutMs - bound of each call
+   */
+  constructor(
+    private readonly store: TableStore,
+    private readonly timeoutMs: number,
+  ) {}
+
+  /**
+   * @param swap - row to write
+   * @returns the new row or the error of this row; swaps of other rows have no influence on it
+   */
+  write(swap: RowSwap): Promise<PlatformResult<Row>> {
+    return new Promise((resolve) => {
+      this.waiting.push({ swap, resolve });
+      this.flush();
+    });
+  }
+
+  private flush(): void {
+    while (this.inFlight < MAX_IN_FLIGHT && this.waiting.length > 0) {
+      const batch = this.takeBatch();
+      this.inFlight += 1;
+      const next = () => {
+        this.inFlight -= 1;
+        this.flush();
+      };
+      this.commit(batch).then(next, next);
+    }
+  }
+
+  /**
+   * Two swaps of one row must not share a transaction: both checks would hold against the old row and
+   * the later write would replace the earlier one.
+   */
+  private takeBatch(): Waiting[] {
+    const keys = new Set<string>();
+    const batch: Waiting[] = [];
+    const rest: Waiting[] = [];
+    for (const item of this.waiting) {
+      const key = addressText(item.swap);
+      const fits = batch.length < MAX_BATCH_ROWS && !keys.has(key);
+      (fits ? batch : rest).push(item);
+      keys.add(key);
+    }
+    this.waiting = rest;
+    return batch;
+  }
+
+  private async commit(batch: readonly Waiting[]): Promise<void> {
+    const result = await this.transact(batch);
+    if (result.ok) {
+      batch.forEach((item, position) =>
+        item.resolve({ ok: true, value: rowOf(result.value, item.swap, position) }),
+      );
+      return;
+    }
+    const { error } = result;
+    if (error.kind !== 'conflict' || batch.length === 1) {
+      batch.forEach((item) => item.resolve({ ok: false, error }));
+      return;
+    }
+    // One row differs, nothing was written: that row has its answer, the others go one by one.
+    const failing = addressText(error.current);
+    await Promise.all(
+      batch.map((item) => {
+        if (addressText(item.swap) !== failing) return this.commit([item]);
+        item.resolve({ ok: false, error });
+        return undefined;
+      }),
+    );
+  }
+
+  private async transact(batch: readonly Waiting[]): Promise<PlatformResult<Row[]>> {
+    const swaps = batch.map((item) => item.swap);
+    const request = {
+      checks: swaps.map(({ table, key, version }) => ({ table, key, version })),
+      writes: swaps.map(({ table, key, value }) => ({ table, key, value })),
+    };
+    try {
+      return await this.store.transaction(request, { timeoutMs: this.timeoutMs });
+    } catch (error) {
+      return { ok: false, error: { kind: 'ambiguous', message: String(error) } };
+    }
+  }
+}
+
+function addressText({ table, key }: RowAddress): string {
+  return `${table}\u0000${key}`;
+}
+
+function rowOf(rows: readonly Row[], swap: RowSwap, position: number): Row {
+  const { table, key, value, version } = swap;
+  return rows[position] ?? { table, key, value, version: version + 1 };
+}
--- /dev/null
+++ b/src/common/gate/Gate.ts
@@ -0,0 +1,393 @@
+import type { Attempt, AttemptStatus, Load } from '../protocol/Attempt.js';
+import type { Acknowledgement } from '../protocol/Control.js';
+import type { UsageClass } from '../protocol/Usage.js';
+import type { Clock } from '../time/Types.js';
+import type { AttemptStream } from './AttemptStream.js';
+import { GateEntry } from './GateEntry.js';
+import {
+  INFEASIBLE,
+  MISMATCH,
+  endedStream,
+  failure,
+  failureOfRun,
+  outcomeOfClaim,
+  refusal,
+  successOfReplay,
+  successOfRun,
+} from './Outcomes.js';
+import { RetiredAttempts, type RetiredAttempt } from './RetiredAttempts.js';
+import { Schedule } from './Schedule.js';
+import type {
+  ClaimEnd,
+  ClaimTarget,
+  GateEffect,
+  GateOptions,
+  Outcome,
+  Refusal,
+  RunEnd,
+} from './Types.js';
+
+/**
+ * A non-idempotent run is not stopped at its deadline, because its outcome is still wanted. After this
+ * much more time without an answer its outcome is given as unknown and its slot is freed.
+ */
+const NON_IDEMPOTENT_GRACE_MS = 30_000;
+
+/**
+ * States of all attempts of one backend server. Does no I/O: methods change state, and
+ * {@link Gate.takeEffects} gives what the owner has to do. All calls come from one actor.
+ */
+export class Gate {
+  private readonly entries = new Map<string, GateEntry>();
+
+  private readonly retired: RetiredAttempts;
+
+  private readonly schedule: Schedule;
+
+  private effects: GateEffect[] = [];
+
+  private drained = false;
+
+  /**
+   * @param options - slots, queue bound, retention
+   * @param clock - monotonic time
+   */
+  constructor(
+    private readonly options: GateOptions,
+    private readonly clock: Clock,
+  ) {
+    this.retired = new RetiredAttempts(clock, options.retentionMs);
+    this.schedule = new Schedule(options.slots, clock);
+  }
+
+  /** @returns number of attempts that are not ended or whose outcome or claim is still kept. */
+  get size(): number {
+    return this.entries.size;
+  }
+
+  /** @returns number of attempts that wait, claim or run. */
+  get active(): number {
+    return this.schedule.size;
+  }
+
+  /** @returns effects of the calls since the last call of this method, in order. */
+  takeEffects(): GateEffect[] {
+    const { effects } = this;
+    this.effects = [];
+    return effects;
+  }
+
+  /**
+   * Takes an attempt, or joins it if it is known.
+   * @param attempt - attempt as received
+   * @param inputDigest - digest of operation and input
+   * @param stale - true if the sender's configuration is too old for new work
+   * @returns output of the attempt; a refused attempt has its outcome already
+   */
+  submit(attempt: Attempt, inputDigest: string, stale: boolean): AttemptStream {
+    const known = this.entries.get(attempt.attemptId);
+    if (known) return this.join(known, attempt, inputDigest);
+    const retired = this.retired.get(attempt.attemptId);
+    if (retired) return this.joinRetired(retired, attempt, inputDigest);
+    const entry = this.createEntry(attempt, inputDigest);
+    const reason = this.refusalAtArrival(entry, stale);
+    this.entries.set(entry.id, entry);
+    if (reason) {
+      this.refuse(entry, reason);
+    } else {
+      this.schedule.enqueue(entry);
+      this.dispatch();
+    }
+    return entry.stream;
+  }
+
+  /**
+   * Takes the outcome of a `claim` effect.
+   * @param entry - attempt of the effect
+   * @param end - what became of the request for the claim
+   */
+  claimEnded(entry: GateEntry, end: ClaimEnd): void {
+    const isHeld = end.kind === 'acquired' || (end.kind === 'unavailable' && end.mayExist);
+    const isReady = end.kind === 'acquired' && !entry.ended;
+    this.schedule.endClaim(entry, isReady);
+    entry.endClaim(this.clock.now(), isHeld);
+    if (isReady) {
+      entry.markReady();
+    } else {
+      if (end.kind !== 'acquired' && !entry.ended) this.endUnclaimed(entry, end);
+      this.settle(entry, 'void');
+    }
+    this.retireIfReleased(entry);
+    this.dispatch();
+  }
+
+  /**
+   * Takes the outcome of a `replay` effect.
+   * @param entry - attempt of the effect
+   * @param output - stored output, or null if it could not be read
+   */
+  replayEnded(entry: GateEntry, output: string | null): void {
+    if (output === null) {
+      this.end(entry, 'failed', failure('unknown', 'the stored result could not be read'));
+    } else {
+      this.end(entry, 'finished', successOfReplay(output));
+    }
+  }
+
+  /**
+   * Takes the outcome of a `run` effect.
+   * @param entry - attempt of the effect
+   * @param end - how the run ended
+   */
+  runEnded(entry: GateEntry, end: RunEnd): void {
+    const now = this.clock.now();
+    const serviceMs = now - (entry.startedAt ?? now);
+    this.schedule.endRun(entry, end.kind === 'done' ? serviceMs : null);
+    entry.endRun(now);
+    if (end.kind === 'done') {
+      this.end(entry, 'finished', successOfRun(entry, end));
+      this.settle(entry, 'done');
+    } else if (end.kind === 'unreachable' && !entry.attempt.idempotent) {
+      this.refuse(entry, refusal('backend-unavailable', end.message));
+      this.settle(entry, 'void');
+    } else {
+      this.end(entry, 'failed', failureOfRun(end));
+      this.settle(entry, 'unknown');
+      this.meter(entry, 'overhead');
+    }
+    this.dispatch();
+  }
+
+  /**
+   * Takes the end of a `settle-claim` effect: the row is final or held by another.
+   * @param entry - attempt of the effect
+   */
+  claimSettled(entry: GateEntry): void {
+    entry.closeClaim();
+    this.retireIfReleased(entry);
+  }
+
+  /**
+   * Makes sure that an attempt that has not been handed to the backend server never will be, also if
+   * it is not known yet.
+   * @param attemptId - attempt
+   * @returns state after the call
+   */
+  voidAttempt(attemptId: string): AttemptStatus['state'] {
+    const voided = refusal('voided', 'voided before it ran');
+    const entry = this.entries.get(attemptId);
+    if (!entry) {
+      const retired = this.retired.get(attemptId);
+      if (retired) return retired.state;
+      this.retired.add(attemptId, { state: 'voided', inputDigest: null, refusal: voided });
+      return 'voided';
+    }
+    if (!entry.ended && entry.state !== 'running') this.withdraw(entry, voided);
+    return entry.status;
+  }
+
+  /**
+   * Stops an attempt. A non-idempotent run goes on.
+   * @param attemptId - attempt
+   * @returns state after the call; `running` until the backend call has ended
+   */
+  cancel(attemptId: string): AttemptStatus['state'] {
+    const entry = this.entries.get(attemptId);
+    if (entry?.state === 'running' && entry.attempt.idempotent) this.abort(entry, 'cancelled');
+    return this.voidAttempt(attemptId);
+  }
+
+  /**
+   * @param attemptId - attempt
+   * @returns its state
+   */
+  status(attemptId: string): AttemptStatus['state'] {
+    const entry = this.entries.get(attemptId);
+    if (entry) return entry.status;
+    return this.retired.get(attemptId)?.state ?? 'unknown';
+  }
+
+  /**
+   * Releases the outcome of an ended attempt and counts its usage.
+   * @param acknowledgement - attempt and whether its result was used
+   */
+  acknowledge({ attemptId, won }: Acknowledgement): void {
+    const entry = this.entries.get(attemptId);
+    if (!entry?.ended) return;
+    this.meter(entry, won && entry.state === 'finished' ? 'useful' : 'overhead');
+    entry.acknowledge();
+    this.retireIfReleased(entry);
+  }
+
+  /** Refuses attempts that can no longer finish in time and stops runs past their deadline. */
+  checkDeadlines(): void {
+    const now = this.clock.now();
+    for (const entry of this.schedule.notHandedOver()) {
+      if (!this.isFeasible(entry)) this.withdraw(entry, INFEASIBLE);
+    }
+    for (const entry of this.schedule.runs()) {
+      const graceMs = entry.attempt.idempotent ? 0 : NON_IDEMPOTENT_GRACE_MS;
+      if (now > entry.deadline + graceMs) this.abort(entry, 'deadline passed');
+    }
+    this.dispatch();
+  }
+
+  /** Drops outcomes that nobody acknowledged within the retention time, and expired ids. */
+  expireRetained(): void {
+    const oldest = this.clock.now() - this.options.retentionMs;
+    for (const entry of this.entries.values()) {
+      if (entry.ended && (entry.endedAt ?? 0) <= oldest && !entry.claimOpen) {
+        this.meter(entry, 'overhead');
+        this.retire(entry);
+      }
+    }
+    this.retired.expire();
+  }
+
+  /** Counts the usage of every result that nobody acknowledged, before the process ends. */
+  meterUnacknowledged(): void {
+    for (const entry of this.entries.values()) {
+      if (entry.ended) this.meter(entry, 'overhead');
+    }
+  }
+
+  /**
+   * Refuses new attempts and those not handed to the backend server yet; running ones finish.
+   * Waiting attempts are refused too, because a leaving server must not get work after the bound.
+   */
+  drain(): void {
+    this.drained = true;
+    for (const entry of this.schedule.notHandedOver()) {
+      this.withdraw(entry, refusal('draining', 'the server is draining'));
+    }
+  }
+
+  /** Takes new attempts again. */
+  resume(): void {
+    this.drained = false;
+  }
+
+  /** @returns load as frames carry it. */
+  load(): Load {
+    return this.schedule.load(this.drained);
+  }
+
+  private join(entry: GateEntry, attempt: Attempt, inputDigest: string): AttemptStream {
+    if (!entry.matches(attempt, inputDigest)) return endedStream(MISMATCH);
+    if (!entry.ended) this.schedule.adjustDeadline(entry, attempt);
+    return entry.stream;
+  }
+
+  private joinRetired(
+    retired: RetiredAttempt,
+    attempt: Attempt,
+    inputDigest: string,
+  ): AttemptStream {
+    if (retired.inputDigest !== null && retired.inputDigest !== inputDigest) {
+      return endedStream(MISMATCH);
+    }
+    if (retired.refusal) return endedStream(retired.refusal);
+    if (attempt.idempotent) {
+      return endedStream(failure('ran', 'the result was acknowledged and released'));
+    }
+    const entry = this.createEntry(attempt, inputDigest);
+    this.retired.delete(entry.id);
+    this.entries.set(entry.id, entry);
+    entry.beginReplay();
+    this.effects.push({ kind: 'replay', entry });
+    return entry.stream;
+  }
+
+  private createEntry(attempt: Attempt, inputDigest: string): GateEntry {
+    const expectedMs = this.schedule.expectedMs(attempt);
+    return new GateEntry(attempt, inputDigest, this.clock.now(), expectedMs);
+  }
+
+  private refusalAtArrival(entry: GateEntry, stale: boolean): Refusal | null {
+    const { attempt } = entry;
+    if (!attempt.idempotent && attempt.idempotencyKey === undefined) {
+      return refusal('invalid', 'a non-idempotent attempt needs an idempotency key');
+    }
+    if (this.drained) return refusal('draining', 'the server is draining');
+    if (stale) return refusal('stale-revision', 'the sender has to catch up first');
+    if (this.schedule.waiting >= this.options.maxWaiting) {
+      return refusal('queue-full', 'too many attempts wait', { retryAfterMs: this.load().waitMs });
+    }
+    return this.isFeasible(entry, this.schedule.expectedWaitMs(entry)) ? null : INFEASIBLE;
+  }
+
+  private isFeasible(entry: GateEntry, waitMs = 0): boolean {
+    return this.clock.now() + waitMs + entry.expectedMs < entry.deadline;
+  }
+
+  /** Starts attempts while there are free slots. */
+  private dispatch(): void {
+    for (let entry = this.schedule.next(); entry; entry = this.schedule.next()) {
+      entry.leaveQueue(this.clock.now());
+      if (!this.isFeasible(entry)) this.withdraw(entry, INFEASIBLE);
+      else if (entry.attempt.idempotent || entry.state === 'ready') this.start(entry);
+      else this.startClaim(entry);
+    }
+  }
+
+  private start(entry: GateEntry): void {
+    this.schedule.beginRun(entry);
+    entry.beginRun(this.clock.now());
+    this.effects.push({ kind: 'run', entry });
+  }
+
+  private startClaim(entry: GateEntry): void {
+    this.schedule.beginClaim(entry);
+    entry.beginClaim();
+    this.effects.push({ kind: 'claim', entry });
+  }
+
+  /** Refuses an attempt that was not handed over. A claim request in progress is settled at its end. */
+  private withdraw(entry: GateEntry, reason: Refusal): void {
+    const isClaimed = this.schedule.withdraw(entry);
+    this.refuse(entry, reason);
+    if (isClaimed) this.settle(entry, 'void');
+  }
+
+  private endUnclaimed(entry: GateEntry, end: Exclude<ClaimEnd, { kind: 'acquired' }>): void {
+    const outcome = outcomeOfClaim(end);
+    if (outcome.type === 'refused') this.refuse(entry, outcome);
+    else this.end(entry, outcome.type === 'result' ? 'finished' : 'failed', outcome);
+  }
+
+  private refuse(entry: GateEntry, reason: Refusal): void {
+    this.end(entry, 'voided', reason);
+    this.retireIfReleased(entry);
+  }
+
+  private end(entry: GateEntry, state: 'finished' | 'failed' | 'voided', outcome: Outcome): void {
+    entry.end(this.clock.now(), state, outcome);
+    this.effects.push({ kind: 'ended', entry });
+  }
+
+  private settle(entry: GateEntry, target: ClaimTarget): void {
+    if (entry.claimOpen) this.effects.push({ kind: 'settle-claim', entry, target });
+  }
+
+  private abort(entry: GateEntry, reason: string): void {
+    if (entry.takeAbortTurn()) this.effects.push({ kind: 'abort', entry, reason });
+  }
+
+  private meter(entry: GateEntry, usageClass: UsageClass): void {
+    if (entry.takeMeterTurn()) this.effects.push({ kind: 'meter', entry, usageClass });
+  }
+
+  private retireIfReleased(entry: GateEntry): void {
+    if (entry.released) this.retire(entry);
+  }
+
+  private retire(entry: GateEntry): void {
+    const { outcome } = entry.stream;
+    this.entries.delete(entry.id);
+    this.retired.add(entry.id, {
+      state: entry.state as RetiredAttempt['state'],
+      inputDigest: entry.inputDigest,
+      refusal: outcome?.type === 'refused' ? outcome : undefined,
+    });
+  }
+}
--- /dev/null
+++ b/src/common/gate/UsageMeter.ts
@@ -0,0 +1,39 @@
+import type { LedgerEntry } from '../protocol/Ledger.js';
+import type { UsageClass } from '../protocol/Usage.js';
+import type { Clock } from '../time/Types.js';
+import type { GateEntry } from './GateEntry.js';
+
+const MONTH_LENGTH = 'YYYY-MM'.length;
+
+/** Turns ended attempts into ledger entries. */
+export class UsageMeter {
+  /**
+   * @param agent - id and incarnation of the agent that did the work
+   * @param clock - wall-clock time for the month
+   */
+  constructor(
+    private readonly agent: { readonly agentId: string; readonly incarnation: string },
+    private readonly clock: Clock,
+  ) {}
+
+  /**
+   * @param entry - ended attempt
+   * @param usageClass - whether the work reached a caller
+   * @returns ledger entry of this one attempt; null if it used nothing
+   */
+  entryOf(entry: GateEntry, usageClass: UsageClass): LedgerEntry | null {
+    const { outcome } = entry.stream;
+    if (outcome === null || outcome.type === 'refused') return null;
+    return {
+      agentId: this.agent.agentId,
+      agentIncarnation: this.agent.incarnation,
+      month: new Date(this.clock.wallTime()).toISOString().slice(0, MONTH_LENGTH),
+      account: entry.attempt.account,
+      template: entry.attempt.template,
+      stage: entry.attempt.stage,
+      class: usageClass,
+      usage: outcome.usage,
+      attempts: 1,
+    };
+  }
+}
--- a/src/common/protocol/Attempt.ts
+++ b/src/common/protocol/Attempt.ts
@@ -57,6 +57,8 @@
   /** Revision that admitted the request. */
   pinnedRevision: z.number().int().nonnegative(),
   notice: RevisionNotice,
+  /** `ip:port` of the sending entry, from which the agent may pull configuration changes. */
+  sender: z.string().optional(),
   /** W3C trace context of the sending span. */
   traceparent: z.string().optional(),
 });
@@ -86,6 +88,8 @@
   'attempt-mismatch',
   'idempotency-key-reused',
   'wrong-server',
+  /** No connection to the backend server could be made; the call was not sent. */
+  'backend-unavailable',
   'invalid',
 ]);
 export type RefusalReason = z.infer<typeof RefusalReason>;
