--- /dev/null
+++ b/src/agent/AgentProcess.test.ts
@@ -0,0 +1,144 @@
+import assert from 'node:assert/strict';
+import { after, before, test } from 'node:test';
+import { request } from 'undici';
+import { sha256 } from '../common/Digest.js';
+import { ATTEMPT_PATH } from '../common/protocol/Attempt.js';
+import {
+  createAttempt,
+  startAgent,
+  startStandins,
+  type RunningAgent,
+  type Standins,
+} from './testing/AgentFixture.js';
+
+let standins: Standins;
+let agent: RunningAgent;
+
+before(async () => {
+  standins = await startStandins(300);
+  agent = await startAgent(standins, 'plain', { backend: backendOf('plain') });
+});
+
+after(async () => {
+  await agent.process.stop();
+  await standins.close();
+});
+
+function backendOf(name: string, slots = 8) {
+  return { id: 'server-1', url: standins.url(name), pool: 'pool', slots };
+}
+
+async function acknowledge(attemptId: string, target = agent): Promise<void> {
+  await target.control.attempt.acknowledge.mutate({ attempts: [{ attemptId, won: true }] });
+}
+
+test('runs an attempt and keeps its connection alive (a slow call must not look like silence)', async () => {
+  const attempt = createAttempt();
+  const frames = await agent.submit(attempt);
+  const types = frames.map((frame) => frame.type);
+  assert.equal(types[0], 'accepted');
+  const result = frames.at(-1)!;
+  assert.ok(result.type === 'result');
+  assert.equal(result.digest, sha256(result.output));
+  assert.equal(result.length, Buffer.byteLength(result.output));
+  assert.equal(result.requestId, attempt.requestId);
+  assert.equal(result.incarnation, agent.incarnation);
+  await acknowledge(attempt.attemptId);
+});
+
+test('the same attempt id on two connections runs once (a re-sent attempt must join)', async () => {
+  const attempt = createAttempt({ idempotent: false, idempotencyKey: 'join' });
+  const [first, second] = await Promise.all([agent.submit(attempt), agent.submit(attempt)]);
+  assert.equal(first.at(-1)!.type, 'result');
+  assert.equal(second.at(-1)!.type, 'result');
+  const runs = await standins.runs('plain');
+  assert.equal(runs.filter((run) => run.attemptId === attempt.attemptId).length, 1);
+  await acknowledge(attempt.attemptId);
+});
+
+test('another attempt with a finished key replays the result (a retry must not pay twice)', async () => {
+  const first = createAttempt({ idempotent: false, idempotencyKey: 'replay' });
+  const [ran] = (await agent.submit(first)).slice(-1);
+  await acknowledge(first.attemptId);
+  const second = createAttempt({ idempotent: false, idempotencyKey: 'replay' });
+  const [replayed] = (await agent.submit(second)).slice(-1);
+  assert.ok(ran?.type === 'result' && replayed?.type === 'result');
+  assert.equal(replayed.replayed, true);
+  assert.equal(replayed.output, ran.output);
+  const runs = await standins.runs('plain');
+  assert.equal(runs.filter((run) => run.attemptId === second.attemptId).length, 0);
+});
+
+test('a key with another input is an error (it must not return the wrong result)', async () => {
+  const fields = { idempotent: false, idempotencyKey: 'reused' };
+  await agent.submit(createAttempt(fields));
+  const other = createAttempt({ ...fields, input: { body: { amount: 2 } } });
+  const [frame] = (await agent.submit(other)).slice(-1);
+  assert.ok(frame?.type === 'refused');
+  assert.equal(frame.reason, 'idempotency-key-reused');
+});
+
+test('while the store is down, only non-idempotent work is refused, as not run', async () => {
+  await standins.faults('table', { outage: true });
+  const plain = createAttempt();
+  const claimed = createAttempt({ idempotent: false, idempotencyKey: 'outage' });
+  const [first, second] = await Promise.all([agent.submit(plain), agent.submit(claimed)]);
+  await standins.faults('table', { outage: false });
+  assert.equal(first.at(-1)!.type, 'result');
+  const refused = second.at(-1)!;
+  assert.ok(refused.type === 'refused');
+  assert.equal(refused.reason, 'claim-unavailable');
+  const runs = await standins.runs('plain');
+  assert.equal(runs.filter((run) => run.attemptId === claimed.attemptId).length, 0);
+});
+
+test('calls without the internal token are rejected', async () => {
+  const url = `http://${agent.address}${ATTEMPT_PATH}`;
+  const response = await request(url, { method: 'POST', body: JSON.stringify(createAttempt()) });
+  assert.equal(response.statusCode, 401);
+  await response.body.dump();
+});
+
+test('answers health, readiness and metrics', async () => {
+  for (const path of ['/healthz', '/readyz', '/metrics']) {
+    const response = await request(`http://${agent.address}${path}`);
+    assert.equal(response.statusCode, 200, path);
+    const text = await response.body.text();
+    if (path === '/metrics') assert.match(text, /agent_attempts/);
+  }
+});
+
+test('a re-sent generate attempt gets the chunks from the offset it names (no chunk twice)', async () => {
+  const other = await startAgent(standins, 'engine');
+  const input = { prompt: 'a b c', maxTokens: 8 };
+  const attempt = createAttempt({ kind: 'generate', operation: undefined, model: 'm', input });
+  const whole = await other.submit(attempt);
+  const resumed = await other.submit({ ...attempt, resumeFrom: 3 });
+  const offsets = (frames: typeof whole) =>
+    frames.flatMap((frame) => (frame.type === 'chunk' ? [frame.offset] : []));
+  const result = whole.at(-1)!;
+  assert.ok(result.type === 'result');
+  assert.deepEqual(offsets(whole), [...Array(result.chunks).keys()]);
+  assert.deepEqual(offsets(resumed), offsets(whole).slice(3));
+  const text = whole.map((frame) => (frame.type === 'chunk' ? frame.text : '')).join('');
+  assert.deepEqual(JSON.parse(result.output), { text });
+  await acknowledge(attempt.attemptId, other);
+  await other.process.stop();
+});
+
+test('a shutdown finishes what runs, refuses the rest and hands over results', async () => {
+  const other = await startAgent(standins, 'plain', { backend: backendOf('plain', 1) });
+  const [running, waiting] = [createAttempt(), createAttempt()];
+  const first = other.submit(running);
+  const second = other.submit(waiting);
+  await new Promise((resolve) => {
+    setTimeout(resolve, 100);
+  });
+  const stopped = other.process.stop();
+  assert.equal((await first).at(-1)!.type, 'result');
+  const refused = (await second).at(-1)!;
+  assert.ok(refused.type === 'refused');
+  assert.equal(refused.reason, 'draining');
+  await acknowledge(running.attemptId, other);
+  await stopped;
+});
--- /dev/null
+++ b/src/agent/testing/AgentFixture.ts
@@ -0,0 +1,163 @@
+/** Agents over stand-ins, and a client that speaks the entry's side of the protocol. */
+import { createTRPCClient, httpLink } from '@trpc/client';
+import { request } from 'undici';
+import { ATTEMPT_PATH, Frame, type Attempt } from '../../common/protocol/Attempt.js';
+import { INTERNAL_TOKEN_HEADER, TRPC_PATH } from '../../common/protocol/Control.js';
+import { StandinHost } from '../../standin/StandinHost.js';
+import { StandinSettings } from '../../standin/StandinSettings.js';
+import { AgentProcess } from '../AgentProcess.js';
+import type { AgentRouter } from '../AgentRouter.js';
+import { AgentSettings } from '../AgentSettings.js';
+
+export const TEST_TOKEN = 'test-internal-token';
+
+let attempts = 0;
+
+/**
+ * @param fields - fields that differ from an idempotent call
+ * @returns attempt with a new id
+ */
+export function createAttempt(fields: Partial<Attempt> = {}): Attempt {
+  attempts += 1;
+  return {
+    attemptId: `attempt-${attempts}`,
+    requestId: `request-${attempts}`,
+    account: 'account',
+    template: 'template',
+    stage: 'stage',
+    kind: 'call',
+    operation: 'deposits',
+    input: { body: { amount: 1 } },
+    remainingMs: 3000,
+    idempotent: true,
+    weight: 1,
+    priority: 5,
+    hedge: false,
+    resumeFrom: 0,
+    pinnedRevision: 0,
+    notice: { revision: 0, confirmedAgeMs: null },
+    ...fields,
+  };
+}
+
+/** Running stand-ins by name. */
+export interface Standins {
+  /** @returns base URL of a service */
+  url(name: string): string;
+  faults(name: string, faults: Record<string, unknown>): Promise<void>;
+  /** @returns runs of a backend stand-in */
+  runs(name: string): Promise<{ attemptId: string; finished: boolean }[]>;
+  close(): Promise<void>;
+}
+
+/**
+ * Starts stand-ins of the store and of a plain service (`plain`) and a model engine (`engine`).
+ * @param serviceMs - service time of the plain service
+ */
+export async function startStandins(serviceMs: number): Promise<Standins> {
+  const address = '127.0.0.1:0';
+  const { services } = StandinSettings.parse({
+    services: [
+      { kind: 'table', name: 'table', address },
+      { kind: 'object', name: 'object', address },
+      { kind: 'membership', name: 'membership', address },
+      { kind: 'plain', name: 'plain', address, slots: 64, serviceTime: { meanMs: serviceMs } },
+      { kind: 'engine', name: 'engine', address, models: ['m'], tokensPerSecond: 1000 },
+    ],
+  });
+  const host = new StandinHost();
+  const running = await host.start(services);
+  const url = (name: string) =>
+    `http://${running.find((service) => service.name === name)!.address}`;
+  return {
+    url,
+    faults: async (name, faults) => {
+      const response = await request(`${url(name)}/control/faults`, {
+        method: 'PUT',
+        body: JSON.stringify(faults),
+      });
+      await response.body.dump();
+    },
+    runs: async (name) => {
+      const response = await request(`${url(name)}/control/runs`);
+      const body = (await response.body.json()) as { runs?: [] } | [];
+      return Array.isArray(body) ? body : body.runs!;
+    },
+    close: () => host.close(),
+  };
+}
+
+/** A running agent and a client for it. */
+export interface RunningAgent {
+  readonly address: string;
+  readonly incarnation: string;
+  readonly process: AgentProcess;
+  readonly control: ReturnType<typeof createControl>;
+  /** Sends an attempt and reads frames until the final one. */
+  submit(attempt: Attempt): Promise<Frame[]>;
+}
+
+/**
+ * @param standins - services that the agent uses
+ * @param backend - name of the backend stand-in
+ * @param fields - settings that differ
+ */
+export async function startAgent(
+  standins: Standins,
+  backend: string,
+  fields: Record<string, unknown> = {},
+): Promise<RunningAgent> {
+  const settings = AgentSettings.parse({
+    id: 'agent-1',
+    address: '127.0.0.1:0',
+    failureDomain: 'a',
+    platform: {
+      tableUrl: standins.url('table'),
+      objectUrl: standins.url('object'),
+      membershipUrl: standins.url('membership'),
+    },
+    internalToken: TEST_TOKEN,
+    backend: { id: 'server-1', url: standins.url(backend), pool: 'pool', slots: 4 },
+    log: { level: 'error' },
+    shutdown: { deadlineMs: 1000 },
+    ...fields,
+  });
+  const process = new AgentProcess(settings);
+  const { address, incarnation } = await process.start();
+  return {
+    address,
+    incarnation,
+    process,
+    control: createControl(address),
+    submit: (attempt) => submitAttempt(address, attempt),
+  };
+}
+
+/**
+ * @param address - agent
+ * @param attempt - attempt to send
+ * @returns frames up to the final one
+ */
+export async function submitAttempt(address: string, attempt: Attempt): Promise<Frame[]> {
+  const response = await request(`http://${address}${ATTEMPT_PATH}`, {
+    method: 'POST',
+    headers: { [INTERNAL_TOKEN_HEADER]: `Bearer ${TEST_TOKEN}` },
+    body: JSON.stringify(attempt),
+  });
+  const text = await response.body.text();
+  return text
+    .trim()
+    .split('\n')
+    .map((line) => Frame.parse(JSON.parse(line)));
+}
+
+function createControl(address: string) {
+  return createTRPCClient<AgentRouter>({
+    links: [
+      httpLink({
+        url: `http://${address}${TRPC_PATH}`,
+        headers: { [INTERNAL_TOKEN_HEADER]: `Bearer ${TEST_TOKEN}` },
+      }),
+    ],
+  });
+}
--- a/src/bin/citronstage-agent.ts
+++ b/src/bin/citronstage-agent.ts
@@ -1,3 +1,5 @@
+#!/usr/bin/env node
+/* eslint n/hashbang: "off" -- package.json names the compiled file in dist */
 /** Entry point of the agent process. */
 import { readFileSync } from 'node:fs';
 import yargs from 'yargs';
--- a/src/entry/RefusalActions.ts
+++ b/src/entry/RefusalActions.ts
@@ -26,5 +26,6 @@
   'attempt-mismatch': { kind: 'new-id', failure: 'idempotency-key-reused' },
   'idempotency-key-reused': { kind: 'fail', failure: 'idempotency-key-reused' },
   'wrong-server': { kind: 'try-next', failure: 'unavailable' },
+  'backend-unavailable': { kind: 'try-next', failure: 'unavailable' },
   invalid: { kind: 'fail', failure: 'bad-request' },
 };
