--- a/src/agent/AgentProcess.ts
+++ b/src/agent/AgentProcess.ts
@@ -6,6 +6,7 @@
 import type { Attempt } from '../common/protocol/Attempt.js';
 import { SeededRandom } from '../common/time/SeededRandom.js';
 import { callSignal, createClients, createPeers } from '../follower/ConfigurationClients.js';
+import type { EntryRouter } from '../entry/EntryRouter.js';
 import { ConfigurationFollower } from '../follower/ConfigurationFollower.js';
 import { LedgerWriter } from '../ledger/LedgerWriter.js';
 import { HttpMembershipList } from '../platform/HttpMembershipList.js';
@@ -223,7 +224,7 @@
 
   private createEndpoint(): AttemptEndpoint {
     const { configuration, identity } = this;
-    const clientOf = createClients(this.settings.internalToken);
+    const clientOf = createClients<EntryRouter>(this.settings.internalToken);
     return new AttemptEndpoint({
       gate: this.actor,
       configuration,
