Settle claims of non-idempotent stages

A refusal that names another holder is settled by asking that holder: a finished or running attempt is joined, a voided one replaced, and a row whose holder's incarnation is gone is swapped to unknown. A holder that can't be reached is asked until the deadline, and the row is read again in between; elapsed time alone never takes a claim over. An attempt that the same incarnation does not know is not joined, because sending it would run it again.

After two voided tries the attempt ids are random: ids derived from the key of several tries may all have been voided by earlier requests. Refusal reasons that the entry does not list count as concerning one server only, so that agents can add reasons.

--- /dev/null
+++ b/src/entry/Claims.test.ts
@@ -0,0 +1,207 @@
+import assert from 'node:assert/strict';
+import { afterEach, test } from 'node:test';
+import type { Attempt } from '../common/protocol/Attempt.js';
+import { CLAIM_TABLE, claimKey, type Claim } from '../common/protocol/Claim.js';
+import { FakeTableStore } from '../platform/testing/FakeTableStore.js';
+import { FakeAgent, type Behaviour } from './testing/FakeAgent.js';
+import { errorOf, post, startEntry, type TestEntryOptions } from './testing/fixtures.js';
+
+const KEY = { 'idempotency-key': 'k1' };
+const DEPOSIT = {
+  name: 'deposit',
+  stages: [
+    {
+      name: 'take',
+      kind: 'call',
+      pool: 'pool',
+      operation: 'deposits',
+      idempotent: false,
+      input: { body: '$request.sum' },
+    },
+  ],
+};
+const RUN: Behaviour = { kind: 'run', output: { receipt: 1 } };
+const ROW = { table: CLAIM_TABLE, key: claimKey('alba', 'k1', 'take') };
+
+const cleanUps: (() => Promise<void>)[] = [];
+afterEach(async () => {
+  for (const cleanUp of cleanUps.splice(0).reverse()) await cleanUp();
+});
+
+const startAgent = async (id: string, behave: (attempt: Attempt) => Behaviour) => {
+  const agent = new FakeAgent(id, behave);
+  await agent.listen();
+  cleanUps.push(() => agent.close());
+  return agent;
+};
+
+const start = async (options: Omit<TestEntryOptions, 'templates'>) => {
+  const started = await startEntry({ templates: [DEPOSIT], deadlineMs: 1500, ...options });
+  cleanUps.push(() => started.stop());
+  return started;
+};
+
+const claimOf = (holder: FakeAgent, part: Partial<Claim> = {}): Claim => ({
+  state: 'claimed',
+  attemptId: 'held',
+  agentId: holder.id,
+  incarnation: holder.incarnation,
+  address: holder.address,
+  inputDigest: 'd',
+  requestId: 'earlier',
+  ...part,
+});
+
+/** An agent that refuses once because of a claim, and an entry that knows only this agent. */
+const startDispute = async (part: Partial<Claim>, holderBehaves: Behaviour = RUN) => {
+  const holder = await startAgent('holder', () => holderBehaves);
+  const claim = claimOf(holder, part);
+  const table = new FakeTableStore();
+  table.table.transaction({ checks: [], writes: [{ ...ROW, value: claim }] });
+  const agent = await startAgent('a', ({ replacesClaim }) =>
+    replacesClaim ? RUN : { kind: 'refuse', reason: 'claimed', claim },
+  );
+  const { url } = await start({ agents: [agent], table });
+  const send = () => post(url, 'deposit', { sum: 5 }, KEY);
+  return { holder, agent, table, send };
+};
+
+/** Makes the holder know the attempt of the claim. */
+const give = (holder: FakeAgent) =>
+  fetch(`http://${holder.address}/v1/attempts`, {
+    method: 'POST',
+    body: JSON.stringify({
+      attemptId: 'held',
+      requestId: 'earlier',
+      account: 'alba',
+      stage: 'take',
+      resumeFrom: 0,
+    }),
+  });
+
+const rowState = (table: FakeTableStore) => (table.table.read(ROW).value as Claim).state;
+
+test('the result of a finished claim is taken from its row', async () => {
+  const { agent, send } = await startDispute({ state: 'done', output: '{"receipt":7}' });
+  const { status, body } = await send();
+  assert.equal(status, 200);
+  assert.deepEqual(body.output, { receipt: 7 });
+  assert.equal(agent.runs.length, 0);
+});
+
+test('a running attempt of the holder is joined, not run again', async () => {
+  const running: Behaviour = { kind: 'run', output: { receipt: 8 }, delayMs: 300 };
+  const { holder, agent, send } = await startDispute({}, running);
+  const first = give(holder);
+  const { body } = await send();
+  assert.deepEqual(body.output, { receipt: 8 });
+  await first;
+  assert.equal(holder.runs.length, 1);
+  assert.equal(agent.runs.length, 0);
+});
+
+test('a claim of an attempt that was voided is replaced', async () => {
+  const { holder, agent, send } = await startDispute({}, { kind: 'refuse', reason: 'voided' });
+  await give(holder);
+  assert.equal((await send()).status, 200);
+  assert.equal(agent.runs.length, 1);
+  assert.equal(agent.runs[0]!.replacesClaim?.attemptId, 'held');
+});
+
+test('a claim whose holder was restarted has an unknown outcome, also for later requests', async () => {
+  const { agent, table, send } = await startDispute({ incarnation: 'earlier' });
+  const { status, body } = await send();
+  assert.equal(status, 504);
+  assert.equal(errorOf(body).outcome, 'unknown');
+  assert.equal(rowState(table), 'unknown');
+  assert.equal(agent.runs.length, 0);
+});
+
+test('a holder that can not be reached leaves the claim alone and the outcome unknown', async () => {
+  const { agent, table, send } = await startDispute({ address: '127.0.0.1:9' });
+  assert.equal(errorOf((await send()).body).outcome, 'unknown');
+  assert.equal(rowState(table), 'claimed');
+  assert.equal(agent.runs.length, 0);
+});
+
+test('a holder that finishes while it is being asked is noticed in the row', async () => {
+  const { table, send } = await startDispute({ address: '127.0.0.1:9' });
+  const answer = send();
+  setTimeout(() => {
+    const value = {
+      ...(table.table.read(ROW).value as Claim),
+      state: 'done',
+      output: '{"late":1}',
+    };
+    table.table.transaction({ checks: [], writes: [{ ...ROW, value }] });
+  }, 300);
+  assert.deepEqual((await answer).body.output, { late: 1 });
+});
+
+test('a failed non-idempotent stage has an unknown outcome and is not repeated', async () => {
+  const agent = await startAgent('a', () => ({ kind: 'fail', outcome: 'unknown' }));
+  const { url } = await start({ agents: [agent] });
+  const { body } = await post(url, 'deposit', { sum: 5 }, KEY);
+  assert.deepEqual([errorOf(body).kind, errorOf(body).outcome], ['stage-failed', 'unknown']);
+  assert.equal(agent.runs.length, 1);
+});
+
+test('an agent that goes silent after it took a deposit leaves the outcome unknown', async () => {
+  const agent = await startAgent('a', () => ({ kind: 'run', output: {}, delayMs: 100 }));
+  agent.writeLine = (_line, response) => Object.assign(response, { end: () => response });
+  const { url } = await start({ agents: [agent] });
+  const sent = post(url, 'deposit', { sum: 5 }, KEY);
+  setTimeout(() => agent.close(), 300);
+  assert.equal(errorOf((await sent).body).outcome, 'unknown');
+});
+
+test('a deposit that still waits at the deadline is voided and reported as not run', async () => {
+  const agent = await startAgent('a', () => ({ kind: 'run', output: {}, waitMs: 5000 }));
+  const { url } = await start({ agents: [agent], deadlineMs: 300 });
+  const { body } = await post(url, 'deposit', { sum: 5 }, KEY);
+  assert.equal(errorOf(body).outcome, 'not-run');
+});
+
+test('a deposit that runs past the deadline has an unknown outcome', async () => {
+  const agent = await startAgent('a', () => ({ kind: 'run', output: {}, delayMs: 1000 }));
+  const { url } = await start({ agents: [agent], deadlineMs: 300 });
+  const { body } = await post(url, 'deposit', { sum: 5 }, KEY);
+  assert.equal(errorOf(body).outcome, 'unknown');
+});
+
+test('a retry of the caller through another entry joins the attempt and gets its result', async () => {
+  const behave = (): Behaviour => ({ kind: 'run', output: { receipt: 9 }, delayMs: 300 });
+  const agents = [await startAgent('a', behave), await startAgent('b', behave)];
+  const one = await start({ agents, id: 'one' });
+  const two = await start({ agents, id: 'two' });
+  const first = post(one.url, 'deposit', { sum: 5 }, KEY);
+  const second = post(two.url, 'deposit', { sum: 5 }, KEY);
+  assert.deepEqual((await first).body.output, { receipt: 9 });
+  assert.deepEqual((await second).body.output, { receipt: 9 });
+  assert.equal(agents[0]!.runs.length + agents[1]!.runs.length, 1);
+});
+
+test('damaged and foreign frames are rejected and the result is fetched again', async () => {
+  const agent = await startAgent('a', () => RUN);
+  const damages: ((line: string) => string)[] = [
+    (line) => line.slice(0, line.length / 2),
+    (line) => line.replace(/"attemptId":"[^"]*"/, '"attemptId":"other"'),
+    (line) => line.replace('"account":"alba"', '"account":"other"'),
+    (line) => line.replace('receipt', 'recept1'),
+    (line) => line.replace(/"digest":"./, '"digest":"_'),
+  ];
+  let next = 0;
+  agent.writeLine = (line, response, type) => {
+    if (type !== 'result' || next >= damages.length) {
+      response.write(line);
+      return;
+    }
+    response.write(damages[next]!(line));
+    next += 1;
+  };
+  const { url } = await start({ agents: [agent] });
+  const { body } = await post(url, 'deposit', { sum: 5 }, KEY);
+  assert.deepEqual(body.output, { receipt: 1 });
+  assert.equal(agent.runs.length, 1);
+  assert.equal(next, damages.length);
+});
--- a/src/entry/Entry.ts
+++ b/src/entry/Entry.ts
@@ -69,7 +69,11 @@
       agents: this.agents,
       router,
       retries: new RetryBudget(settings.policy.retryBudget),
-      claims: new ClaimSettler(),
+      claims: new ClaimSettler({
+        agents: this.agents,
+        table: options.table,
+        objects: options.objects,
+      }),
       schemas: new SchemaChecks(),
       ledger: options.ledger,
     });
--- a/src/entry/SentAttempt.ts
+++ b/src/entry/SentAttempt.ts
@@ -146,7 +146,10 @@
     if (end.kind === 'result') {
       this.fateValue = 'finished';
       router.reportResult(this.server, this.start.content, end.frame, elapsedMs);
-      if (!end.frame.replayed) this.record(end.frame.usage, end.frame.incarnation, 'useful');
+      // The entry that started a shared attempt records it; a replay was recorded before.
+      const isOwn = end.frame.requestId === this.start.content.requestId;
+      if (isOwn && !end.frame.replayed)
+        this.record(end.frame.usage, end.frame.incarnation, 'useful');
     }
   }
 
--- a/src/entry/StageRun.ts
+++ b/src/entry/StageRun.ts
@@ -4,7 +4,7 @@
 import { NO_USAGE } from '../common/protocol/Usage.js';
 import type { RoutedServer } from '../common/routing/Types.js';
 import { createAttemptId, deriveAttemptId } from './AttemptId.js';
-import { REFUSAL_ACTIONS, type RefusalAction } from './RefusalActions.js';
+import { actionAfter, type RefusalAction } from './RefusalActions.js';
 import { SentAttempt } from './SentAttempt.js';
 import type { StageServices } from './StageRunner.js';
 import type {
@@ -39,6 +39,10 @@
 
   private replacesClaim: Claim | undefined;
 
+  private tries = 0;
+
+  private voidedTries = 0;
+
   /** True if derived attempt ids are in use for another input. */
   private randomIds = false;
 
@@ -60,7 +64,7 @@
     if (problem) return this.fail('bad-request', `input of stage "${stage.name}": ${problem}`);
     this.services.retries.earn();
     while (!context.signal.aborted) {
-      if (this.attempts.length >= MAX_TRIES) return this.failLast();
+      if (this.tries >= MAX_TRIES) return this.failLast();
       const server = this.route();
       if (!server) {
         if (!(await this.pause())) return this.failLast();
@@ -86,15 +90,23 @@
   }
 
   private send(server: RoutedServer): SentAttempt {
-    const { context, stage, input, onChunk } = this.task;
+    const attemptId = this.nextAttemptId();
     this.tried.add(server.agentId);
+    this.tries += 1;
+    const derived = this.task.context.idempotencyKey !== undefined && !this.randomIds;
+    return this.start(attemptId, server, derived);
+  }
+
+  /** `shared`: another request with the same key may have started the attempt. */
+  private start(attemptId: string, server: RoutedServer, shared: boolean): SentAttempt {
+    const { context, stage, input, onChunk } = this.task;
     const attempt = new SentAttempt(this.services, {
       server,
       context,
       onChunk,
-      shared: context.idempotencyKey !== undefined && !this.randomIds,
+      shared,
       content: {
-        attemptId: this.nextAttemptId(),
+        attemptId,
         requestId: context.requestId,
         account: context.account.id,
         template: context.template,
@@ -108,7 +120,7 @@
         replacesClaim: this.replacesClaim,
         weight: context.weight,
         priority: context.account.priority,
-        hedge: this.attempts.length > 0,
+        hedge: this.tries > 1,
         pinnedRevision: context.pinnedRevision,
         traceparent: context.traceparent,
       },
@@ -180,13 +192,14 @@
   }
 
   private takeRefusal(frame: RefusedFrame): Promise<Step> | Step {
-    const action = REFUSAL_ACTIONS[frame.reason];
+    const action = actionAfter(frame.reason);
     const handlers: Record<RefusalAction['kind'], () => Promise<Step> | Step> = {
       'try-next': () => {
         this.noteFailure(action.failure, frame.message, frame.retryAfterMs);
         return null;
       },
       'try-again': () => this.tryAgain(frame),
+      'new-try': () => this.tryAfterVoid(frame),
       'new-id': () => {
         if (!this.task.stage.idempotent) return this.fail('idempotency-key-reused', frame.message);
         this.randomIds = true;
@@ -206,13 +219,64 @@
     return null;
   }
 
+  /** Derived ids of several tries may all have been voided by earlier requests with this key. */
+  private tryAfterVoid(frame: RefusedFrame): Step {
+    this.noteFailure('unavailable', frame.message);
+    this.voidedTries += 1;
+    if (this.voidedTries > 1) this.randomIds = true;
+    this.tried.clear();
+    return null;
+  }
+
   private async settleClaim(frame: RefusedFrame): Promise<Step> {
     const { stage, context } = this.task;
-    if (!frame.claim) return this.fail('outcome-unknown', 'claimed by an unknown attempt');
-    const verdict = await this.services.claims.settle(frame.claim, stage.name, context);
-    context.decide(stage.name, 'settle', verdict.kind);
-    if (verdict.kind === 'output') return this.finish(verdict.output, NO_USAGE, true);
-    return this.fail('outcome-unknown', `stage "${stage.name}" may have run`, undefined, 'unknown');
+    if (!frame.claim || context.idempotencyKey === undefined) {
+      return this.failUnknown('the claim row is not readable');
+    }
+    const dispute = {
+      claim: frame.claim,
+      account: context.account.id,
+      idempotencyKey: context.idempotencyKey,
+      stage: stage.name,
+      signal: context.signal,
+    };
+    for (;;) {
+      const verdict = await this.services.claims.settle(dispute);
+      context.decide(stage.name, 'settle', verdict.kind);
+      if (verdict.kind === 'output') return this.finish(verdict.output, NO_USAGE, true);
+      if (verdict.kind === 'unknown') return this.failUnknown(verdict.message);
+      if (verdict.kind === 'replace') return this.replace(verdict.claim);
+      const step = await this.join(verdict.claim);
+      if (step !== 'again') return step;
+      await this.sleep(RETRY_PAUSE_MS);
+    }
+  }
+
+  private replace(claim: Claim): null {
+    this.replacesClaim = claim;
+    this.tried.clear();
+    return null;
+  }
+
+  /** Follows the attempt of the holder instead of running another one. */
+  private async join(claim: Claim): Promise<Step | 'again'> {
+    const { pool } = this.task.stage;
+    const server = { ...claim, pool, failureDomain: '', region: '' };
+    const attempt = this.start(claim.attemptId, server, true);
+    const end = await attempt.end;
+    if (end.kind === 'result') return this.takeResult(attempt, end.frame);
+    if (end.kind === 'failed') return this.retryAfterFailure(end.frame.message, true);
+    const isVoided = end.kind === 'refused' && end.frame.reason === 'voided';
+    if (isVoided && end.frame.incarnation === claim.incarnation) return this.replace(claim);
+    if (end.kind === 'refused' && end.frame.reason === 'attempt-mismatch') {
+      return this.fail('idempotency-key-reused', end.frame.message);
+    }
+    return 'again';
+  }
+
+  private failUnknown(message: string): Promise<StageEnd> {
+    const text = `stage "${this.task.stage.name}" may have run: ${message}`;
+    return this.fail('outcome-unknown', text, undefined, 'unknown');
   }
 
   /** @returns false if there is no time or no reason to wait for servers. */
