--- a/src/entry/Claims.test.ts
+++ b/src/entry/Claims.test.ts
@@ -36,7 +36,7 @@
 };
 
 const start = async (options: Omit<TestEntryOptions, 'templates'>) => {
-  const started = await startEntry({ templates: [DEPOSIT], deadlineMs: 1500, ...options });
+  const started = await startEntry({ templates: [DEPOSIT], deadlineMs: 900, ...options });
   cleanUps.push(() => started.stop());
   return started;
 };
--- a/src/entry/Entry.ts
+++ b/src/entry/Entry.ts
@@ -163,6 +163,7 @@
 
 function sleep(ms: number): Promise<void> {
   return new Promise((resolve) => {
-    setTimeout(resolve, ms);
+    // A wait that lost a race must not keep the process alive.
+    setTimeout(resolve, ms).unref();
   });
 }
--- a/src/entry/testing/FakeAgent.ts
+++ b/src/entry/testing/FakeAgent.ts
@@ -246,7 +246,7 @@
 }
 
 function after(delayMs: number | undefined, action: () => void): void {
-  if (delayMs) setTimeout(action, delayMs);
+  if (delayMs) setTimeout(action, delayMs).unref();
   else action();
 }
 
