--- a/src/entry/AgentClient.ts
+++ b/src/entry/AgentClient.ts
@@ -28,6 +28,8 @@
 export interface AgentClientOptions {
   readonly clock: Clock;
   readonly internalToken: string;
+  /** @returns `ip:port` of this entry, from which agents may pull configuration changes. */
+  readonly sender: () => string;
   /** @returns what this entry knows of the configuration. */
   readonly notice: () => RevisionNotice;
   /** Takes what an agent knows of the configuration, and how to read changes from it. */
@@ -62,6 +64,7 @@
       clock: options.clock,
       dispatcher: (address, fresh) => this.dispatcher(address, fresh),
       headers: () => this.headers(),
+      sender: options.sender,
       notice: options.notice,
       onNotice: (address, notice) => options.onNotice(notice, (after) => this.pull(address, after)),
     };
--- a/src/entry/AttemptStream.ts
+++ b/src/entry/AttemptStream.ts
@@ -38,6 +38,7 @@
   /** @returns a connection pool for a first send, or a fresh connection for a re-send. */
   dispatcher(address: string, fresh: boolean): { dispatcher: Dispatcher; release: () => void };
   headers(): Record<string, string>;
+  sender(): string;
   notice(): RevisionNotice;
   onNotice(address: string, notice: RevisionNotice): void;
 }
@@ -149,6 +150,7 @@
       remainingMs,
       resumeFrom: this.nextOffset,
       notice: this.services.notice(),
+      sender: this.services.sender(),
     });
   }
 
--- a/src/entry/Entry.ts
+++ b/src/entry/Entry.ts
@@ -49,12 +49,16 @@
 
   private stopping = false;
 
+  private address: string;
+
   constructor(private readonly options: EntryOptions) {
     const { settings, clock, configuration } = options;
+    this.address = settings.address;
     this.directory = new AgentDirectory(options.membership, settings.membership.pollIntervalMs);
     this.agents = new AgentClient({
       clock,
       internalToken: settings.internalToken,
+      sender: () => this.address,
       notice: () => configuration.notice(),
       onNotice: (notice, pull) => configuration.hear(notice, pull),
     });
@@ -97,7 +101,8 @@
    */
   async start(): Promise<string> {
     this.directory.start();
-    return this.server.listen();
+    this.address = await this.server.listen();
+    return this.address;
   }
 
   /**
--- a/src/entry/Types.ts
+++ b/src/entry/Types.ts
@@ -12,7 +12,7 @@
 export type FailedFrame = Extract<Frame, { type: 'failed' }>;
 
 /** The part of an attempt that stays the same when it is sent again. */
-export type AttemptContent = Omit<Attempt, 'remainingMs' | 'resumeFrom' | 'notice'>;
+export type AttemptContent = Omit<Attempt, 'remainingMs' | 'resumeFrom' | 'notice' | 'sender'>;
 
 /** An attempt and what its answer is checked against. */
 export interface AttemptOrder {
--- a/src/entry/createEntry.ts
+++ b/src/entry/createEntry.ts
@@ -2,7 +2,9 @@
 import { randomBytes } from 'node:crypto';
 import { SeededRandom } from '../common/time/SeededRandom.js';
 import { ConfigurationFollower } from '../follower/ConfigurationFollower.js';
+import { ConfigurationPublisher } from '../follower/ConfigurationPublisher.js';
 import { createPeers } from '../follower/ConfigurationClients.js';
+import { MembershipNotifier } from '../follower/MembershipNotifier.js';
 import { LedgerWriter } from '../ledger/LedgerWriter.js';
 import { HttpMembershipList } from '../platform/HttpMembershipList.js';
 import { HttpObjectStore } from '../platform/HttpObjectStore.js';
@@ -12,6 +14,7 @@
 import { createMetrics } from '../telemetry/Metrics.js';
 import { createTracing } from '../telemetry/Tracing.js';
 import { Entry } from './Entry.js';
+import { createOperatorApi } from './operator/OperatorApi.js';
 import type { EntrySettings } from './EntrySettings.js';
 
 const INCARNATION_BYTES = 8;
@@ -64,6 +67,29 @@
     logger,
     metrics: createMetrics(),
     tracing: createTracing(settings.id, settings.tracing),
-    operators: () => async () => false,
+    operators: (control) =>
+      createOperatorApi({
+        entryId: settings.id,
+        operators: settings.operators,
+        internalToken: settings.internalToken,
+        source: configuration,
+        writer: new ConfigurationPublisher({
+          store: table,
+          clock,
+          source: configuration,
+          notifier: new MembershipNotifier({
+            ownId: settings.id,
+            membership,
+            internalToken: settings.internalToken,
+            logger,
+          }),
+          logger,
+        }),
+        store: table,
+        membership,
+        control,
+        clock,
+        logger,
+      }),
   });
 }
