--- a/src/entry/Entry.ts
+++ b/src/entry/Entry.ts
@@ -49,12 +49,16 @@
 
   private stopping = false;
 
+  private address: string;
+
   constructor(private readonly options: EntryOptions) {
     const { settings, clock, configuration } = options;
+    this.address = settings.address;
     this.directory = new AgentDirectory(options.membership, settings.membership.pollIntervalMs);
     this.agents = new AgentClient({
       clock,
       internalToken: settings.internalToken,
+      sender: () => this.address,
       notice: () => configuration.notice(),
       onNotice: (notice, pull) => configuration.hear(notice, pull),
     });
@@ -69,7 +73,11 @@
       agents: this.agents,
       router,
       retries: new RetryBudget(settings.policy.retryBudget),
-      claims: new ClaimSettler(),
+      claims: new ClaimSettler({
+        agents: this.agents,
+        table: options.table,
+        objects: options.objects,
+      }),
       schemas: new SchemaChecks(),
       ledger: options.ledger,
     });
@@ -93,7 +101,8 @@
    */
   async start(): Promise<string> {
     this.directory.start();
-    return this.server.listen();
+    this.address = await this.server.listen();
+    return this.address;
   }
 
   /**
@@ -159,6 +168,7 @@
 
 function sleep(ms: number): Promise<void> {
   return new Promise((resolve) => {
-    setTimeout(resolve, ms);
+    // A wait that lost a race must not keep the process alive.
+    setTimeout(resolve, ms).unref();
   });
 }
