Test the claim protocol against a sequential model

Two simulated agents share a store; fast-check chooses the order of messages, store answers (outage, lost before or after the commit, late commits), pauses, crashes, drains and void calls. The judge checks at most one run per key, true refusals, one result per key, a committed claim before each run and no claim of a live agent left open.

A lost take-over could commit after its attempt was given up and leave a claim open for good: the writer now remembers the version of its last write and swaps that row to void, so that the late write fails.

--- a/src/agent/AgentService.ts
+++ b/src/agent/AgentService.ts
@@ -4,7 +4,8 @@
 import type { ConfigurationSource } from '../follower/Types.js';
 import type { AgentSettings } from './AgentSettings.js';
 import type { DrainState } from './DrainState.js';
-import type { GateActor, GateMessage } from './GateActor.js';
+import type { GateActor } from './GateActor.js';
+import type { GateMessage } from './GateMessage.js';
 import type { AgentIdentity } from './Types.js';
 
 type StateReply = (state: AttemptStatus['state']) => void;
--- a/src/agent/AttemptRunner.ts
+++ b/src/agent/AttemptRunner.ts
@@ -5,7 +5,7 @@
 import { NO_USAGE, type UsageClass } from '../common/protocol/Usage.js';
 import type { Logger } from '../telemetry/Logger.js';
 import type { AttemptTelemetry } from './AttemptTelemetry.js';
-import type { GateMessage } from './GateActor.js';
+import type { GateMessage } from './GateMessage.js';
 import type { AgentIdentity, Backend, ClaimStore, UsageLedger } from './Types.js';
 
 /** Services that carry out effects of the gate. */
--- a/src/agent/claims/ClaimWriter.ts
+++ b/src/agent/claims/ClaimWriter.ts
@@ -15,8 +15,11 @@
 /** Bound of one call to the table service or the object store. */
 const CALL_TIMEOUT_MS = 1000;
 
-/** An insert that certainly wrote nothing is tried once more before the attempt is refused. */
-const MAX_UNAVAILABLE_TRIES = 2;
+/**
+ * Writes without an answer or with an outage after which an attempt is refused. One failure may be a
+ * broken connection; after three the caller is better served by an early refusal.
+ */
+const MAX_FAILURES = 3;
 
 const ACQUIRE_RETRY_MS = 20;
 const SETTLE_RETRY_MIN_MS = 100;
@@ -44,7 +47,10 @@
 export class ClaimWriter implements ClaimStore {
   private readonly batcher: RowBatcher;
 
-  /** Versions of rows acquired here, by key and attempt. */
+  /**
+   * By key and attempt: version of the row that was acquired, or that the last write expected. A write
+   * with a lost answer may still arrive; a later write that expects the same version makes it fail.
+   */
   private readonly versions = new Map<string, number>();
 
   private readonly delay: (ms: number) => Promise<unknown>;
@@ -63,29 +69,10 @@
    * without the staleness of a plain read.
    */
   async acquire(request: ClaimRequest): Promise<ClaimEnd> {
-    const { key, claim } = request;
-    let version = 0;
-    let mayExist = false;
-    let unavailableTries = 0;
-    while (!this.disposed && this.services.clock.now() < request.deadline) {
-      const result = await this.batcher.write({ table: CLAIM_TABLE, key, version, value: claim });
-      if (result.ok) return this.acquired(request, result.value);
-      const { error } = result;
-      if (error.kind === 'conflict') {
-        const verdict = await this.judge(request, error.current);
-        if (verdict.kind === 'acquired') return this.acquired(request, error.current);
-        if (verdict.kind !== 'take-over') return verdict;
-        version = error.current.version;
-        continue;
-      }
-      if (error.kind === 'ambiguous') mayExist = true;
-      if (error.kind === 'unavailable') unavailableTries += 1;
-      if (!mayExist && unavailableTries >= MAX_UNAVAILABLE_TRIES) {
-        return unavailable(error.message, false);
-      }
-      await this.delay(ACQUIRE_RETRY_MS);
-    }
-    return unavailable('the table service gave no answer in time', mayExist);
+    const end = await this.tryToAcquire(request);
+    const isHeld = end.kind === 'acquired' || (end.kind === 'unavailable' && end.mayExist);
+    if (!isHeld) this.versions.delete(versionKeyOf(request.key, request.claim));
+    return end;
   }
 
   async settle(key: string, claim: Claim, target: ClaimTarget, output?: string): Promise<boolean> {
@@ -124,8 +111,33 @@
     this.disposed = true;
   }
 
-  private acquired(request: ClaimRequest, row: Row): ClaimEnd {
-    this.versions.set(versionKeyOf(request.key, request.claim), row.version);
+  private async tryToAcquire(request: ClaimRequest): Promise<ClaimEnd> {
+    const { key, claim, deadline } = request;
+    const versionKey = versionKeyOf(key, claim);
+    let version = 0;
+    let mayExist = false;
+    let failures = 0;
+    while (failures < MAX_FAILURES && this.services.clock.now() < deadline && !this.disposed) {
+      this.versions.set(versionKey, version);
+      const result = await this.batcher.write({ table: CLAIM_TABLE, key, version, value: claim });
+      if (result.ok) return this.acquired(versionKey, result.value);
+      const { error } = result;
+      if (error.kind === 'conflict') {
+        const verdict = await this.judge(request, error.current);
+        if (verdict.kind === 'acquired') return this.acquired(versionKey, error.current);
+        if (verdict.kind !== 'take-over') return verdict;
+        version = error.current.version;
+      } else {
+        failures += 1;
+        mayExist ||= error.kind === 'ambiguous';
+        if (failures < MAX_FAILURES) await this.delay(ACQUIRE_RETRY_MS);
+      }
+    }
+    return unavailable('the table service gave no answer', mayExist);
+  }
+
+  private acquired(versionKey: string, row: Row): ClaimEnd {
+    this.versions.set(versionKey, row.version);
     return { kind: 'acquired' };
   }
 
--- /dev/null
+++ b/src/agent/testing/SimulatedAgent.ts
@@ -0,0 +1,103 @@
+import { Gate } from '../../common/gate/Gate.js';
+import type { GateEffect, RunEnd } from '../../common/gate/Types.js';
+import { UsageMeter } from '../../common/gate/UsageMeter.js';
+import type { Attempt } from '../../common/protocol/Attempt.js';
+import type { LedgerEntry } from '../../common/protocol/Ledger.js';
+import { SeededRandom } from '../../common/time/SeededRandom.js';
+import type { Clock } from '../../common/time/Types.js';
+import type { TableStore } from '../../platform/Types.js';
+import type { Logger } from '../../telemetry/Logger.js';
+import { AttemptRunner } from '../AttemptRunner.js';
+import { ClaimWriter } from '../claims/ClaimWriter.js';
+import { applyMessage, type GateMessage } from '../GateMessage.js';
+import type { AttemptTelemetry } from '../AttemptTelemetry.js';
+import type { AgentIdentity } from '../Types.js';
+import type { StepScheduler } from './StepScheduler.js';
+
+/** Surroundings of a simulated agent. */
+export interface SimulatedWorld {
+  readonly scheduler: StepScheduler;
+  readonly clock: Clock;
+  /** @returns the store as this process sees it */
+  storeOf(process: string): TableStore;
+  /** Called at the moment of a hand-off; gives the end of the run. */
+  onRun(agent: SimulatedAgent, attempt: Attempt): RunEnd;
+  onUsage(entry: LedgerEntry): void;
+}
+
+/** One incarnation of an agent without sockets: gate, effects and claims over a fake store. */
+export class SimulatedAgent {
+  readonly gate: Gate;
+
+  readonly identity: AgentIdentity;
+
+  crashed = false;
+
+  private readonly runner: AttemptRunner;
+
+  private readonly claims: ClaimWriter;
+
+  constructor(
+    private readonly world: SimulatedWorld,
+    agentId: string,
+    incarnation: string,
+  ) {
+    const { scheduler, clock } = world;
+    this.identity = { agentId, incarnation, address: agentId };
+    this.gate = new Gate({ slots: 1, maxWaiting: 4, retentionMs: 2000 }, clock);
+    this.claims = new ClaimWriter({
+      store: world.storeOf(this.process),
+      objects: {
+        put: async () => ({ ok: true, value: undefined }),
+        get: async () => ({ ok: true, value: null }),
+      },
+      clock,
+      random: new SeededRandom(1),
+      delay: () => scheduler.wait(this.process),
+    });
+    this.runner = new AttemptRunner(
+      {
+        identity: this.identity,
+        claims: this.claims,
+        backend: { run: (call) => this.runBackend(call.attempt) },
+        meter: new UsageMeter(this.identity, clock),
+        ledger: { record: (entry) => world.onUsage(entry) },
+        telemetry: { attemptEnded: () => undefined } as unknown as AttemptTelemetry,
+        logger: { error: () => undefined } as unknown as Logger,
+      },
+      (message) => this.handle(message),
+    );
+  }
+
+  /** Name of the process in the scheduler. */
+  get process(): string {
+    return `${this.identity.agentId}/${this.identity.incarnation}`;
+  }
+
+  /** Ends the incarnation: nothing that it waits for has an effect any more. */
+  crash(): void {
+    this.crashed = true;
+    this.claims.dispose();
+    this.world.scheduler.paused.add(this.process);
+  }
+
+  /**
+   * Calls the gate and carries out the effects.
+   * @param call - what to do with the gate
+   */
+  use<T>(call: (gate: Gate) => T): T {
+    const answer = call(this.gate);
+    this.gate.takeEffects().forEach((effect: GateEffect) => this.runner.handle(effect));
+    return answer;
+  }
+
+  private handle(message: GateMessage): void {
+    if (!this.crashed) this.use((gate) => applyMessage(gate, message));
+  }
+
+  private async runBackend(attempt: Attempt): Promise<RunEnd> {
+    const end = this.world.onRun(this, attempt);
+    await this.world.scheduler.wait(this.process);
+    return end;
+  }
+}
