--- a/src/load/demo/Costs.ts
+++ b/src/load/demo/Costs.ts
@@ -1,11 +1,9 @@
 /** Usage by client account, template and stage, from the ledger rows of the table service. */
-import { request } from 'undici';
 import { LEDGER_TABLE, LedgerRow, type LedgerEntry } from '../../common/protocol/Ledger.js';
 import { addUsage, type Usage, type UsageClass } from '../../common/protocol/Usage.js';
+import { scanTable } from '../client/TableReader.js';
 import type { Cluster } from '../launch/Cluster.js';
 
-const SCAN_LIMIT = 1000;
-
 /** Usage of one account, template and stage. */
 export interface StageCost {
   readonly account: string;
@@ -34,13 +32,8 @@
 }
 
 async function readRows(cluster: Cluster): Promise<LedgerRow[]> {
-  const response = await request(`http://${cluster.table.address}/v1/scan`, {
-    method: 'POST',
-    headers: { 'content-type': 'application/json' },
-    body: JSON.stringify({ table: LEDGER_TABLE, prefix: '', limit: SCAN_LIMIT }),
-  });
-  const body = (await response.body.json()) as { rows: { value: unknown }[] };
-  return body.rows.map((row) => LedgerRow.parse(row.value));
+  const rows = await scanTable(cluster.table.address, LEDGER_TABLE, '');
+  return rows.map((row) => LedgerRow.parse(row.value));
 }
 
 function sumByWork(rows: readonly LedgerRow[]): Map<string, LedgerEntry> {
--- a/src/load/launch/Cluster.ts
+++ b/src/load/launch/Cluster.ts
@@ -14,7 +14,8 @@
 /** Token of the operator that every launched entry knows. */
 export const OPERATOR_TOKEN = 'operator-token-of-launcher';
 
-const INTERNAL_TOKEN = 'internal-token-of-launcher';
+/** Secret that the launched processes share. */
+export const INTERNAL_TOKEN = 'internal-token-of-launcher';
 
 /** Backend stand-ins are spread over this many processes, so that one core does not limit them. */
 const BACKENDS_PER_PROCESS = 8;
@@ -45,8 +46,6 @@
 
   private readonly standins: ManagedProcess[] = [];
 
-  private tableUrl = '';
-
   private constructor(
     readonly options: ClusterOptions,
     readonly launcher: Launcher,
@@ -116,7 +115,7 @@
 
   private async startAll(): Promise<void> {
     await this.startStandins();
-    await writeSeed(this.tableUrl, this.options.deployment);
+    await writeSeed(this.table.address, this.options.deployment);
     const platform = await this.platformSettings();
     await this.defineAgents(platform);
     await this.defineEntries(platform);
@@ -136,7 +135,6 @@
     this.table = new StandinClient(table);
     this.objects = new StandinClient(objects);
     this.membership = new StandinClient(membership);
-    this.tableUrl = `http://${table}`;
     wanted.forEach(({ pool, index }, position) => {
       const address = addresses[position]!;
       this.servers.push({
--- a/src/load/launch/ConfigurationSeed.ts
+++ b/src/load/launch/ConfigurationSeed.ts
@@ -1,5 +1,4 @@
 /** First content of the configuration, written straight to the table service before entries start. */
-import { request } from 'undici';
 import { sha256 } from '../../common/Digest.js';
 import {
   CONFIGURATION_HEAD_KEY,
@@ -9,6 +8,7 @@
   type Change,
   type ChangeSubject,
 } from '../../common/protocol/Configuration.js';
+import { commit } from '../client/TableReader.js';
 import type { AccountDescription, Deployment } from '../deployment/Types.js';
 
 /**
@@ -53,12 +53,12 @@
 
 /**
  * Writes the first configuration in one transaction.
- * @param tableUrl - URL of the table service
+ * @param tableAddress - `ip:port` of the table service
  * @param deployment - deployment to configure
  * @returns revision in force afterwards
  * @throws Error if the table service refuses the transaction
  */
-export async function writeSeed(tableUrl: string, deployment: Deployment): Promise<number> {
+export async function writeSeed(tableAddress: string, deployment: Deployment): Promise<number> {
   const changes = seedChanges(deployment);
   const head = { table: CONFIGURATION_TABLE, key: CONFIGURATION_HEAD_KEY };
   const writes = [
@@ -69,12 +69,9 @@
       value: change,
     })),
   ];
-  const response = await request(`${tableUrl}/v1/transaction`, {
-    method: 'POST',
-    headers: { 'content-type': 'application/json' },
-    body: JSON.stringify({ checks: [{ ...head, version: 0 }], writes }),
-  });
-  const text = await response.body.text();
-  if (response.statusCode !== 200) throw new Error(`the table service answered: ${text}`);
+  const checks = [{ ...head, version: 0 }];
+  if (!(await commit(tableAddress, { checks, writes }))) {
+    throw new Error('the table service refused the first configuration');
+  }
   return changes.length;
 }
--- a/src/load/launch/ManagedProcess.ts
+++ b/src/load/launch/ManagedProcess.ts
@@ -21,6 +21,10 @@
 export class ManagedProcess {
   private child: ChildProcess | undefined;
 
+  private lastDisturbedAt = 0;
+
+  private isFrozen = false;
+
   /** @param specification - what to start */
   constructor(readonly specification: ProcessSpecification) {}
 
@@ -32,6 +36,16 @@
     return this.child !== undefined && this.child.exitCode === null && !this.child.signalCode;
   }
 
+  /** How long it has run without a start or a signal, in milliseconds; 0 while it is frozen or ended. */
+  get undisturbedMs(): number {
+    return this.running && !this.isFrozen ? Date.now() - this.lastDisturbedAt : 0;
+  }
+
+  /** @returns id of the running process. */
+  get pid(): number | undefined {
+    return this.running ? this.child!.pid : undefined;
+  }
+
   /** @returns exit code of the last run; null if it runs or was ended by a signal. */
   get exitCode(): number | null {
     return this.child?.exitCode ?? null;
@@ -71,7 +85,10 @@
    * @returns false if the process does not run
    */
   signal(signal: NodeJS.Signals): boolean {
-    return this.running && this.child!.kill(signal);
+    if (!this.running) return false;
+    this.lastDisturbedAt = Date.now();
+    this.isFrozen = signal === 'SIGSTOP';
+    return this.child!.kill(signal);
   }
 
   /** Ends the process at once and waits for its end; a frozen process is ended as well. */
@@ -110,6 +127,8 @@
     });
     child.stderr.pipe(createWriteStream(logFile, { flags: 'a' }));
     this.child = child;
+    this.lastDisturbedAt = Date.now();
+    this.isFrozen = false;
     return child;
   }
 
--- /dev/null
+++ b/src/load/prove/Drain.ts
@@ -0,0 +1,96 @@
+/** Promise 5: a leaving backend server gets no new work after 3 s, even with store and list down. */
+import { setTimeout as sleep } from 'node:timers/promises';
+import { setDraining } from '../client/OperatorClient.js';
+import type { Cluster } from '../launch/Cluster.js';
+import type { BackendServer } from '../launch/Types.js';
+import { MixedLoad, nameOf } from './MixedLoad.js';
+import type { Proof, ProofContext, ProofOutcome } from './Types.js';
+import { withCluster } from './WithCluster.js';
+
+/** Bound of the promise. */
+const DRAIN_BOUND_MS = 3000;
+
+const MEMBERSHIP_LAG_MS = 30_000;
+const REQUESTS_PER_SECOND = 15;
+const WARM_UP_MS = 1500;
+
+/** The store is down here; only idempotent templates can be served. */
+const TEMPLATES = ['stitch-plan', 'floor-question', 'order-status'];
+const POOLS = ['engines', 'retrievers', 'orders'];
+
+export const DRAIN: Proof = {
+  description: 'a drained server gets no new work after 3 s; no request fails because of it',
+  run: (context) => withCluster(context, {}, (cluster) => prove(context, cluster)),
+};
+
+async function prove(context: ProofContext, cluster: Cluster): Promise<ProofOutcome> {
+  const options = { perSecond: REQUESTS_PER_SECOND, templates: TEMPLATES };
+  const load = new MixedLoad(cluster, options, context.random);
+  const running = load.run(context.seconds);
+  await sleep(WARM_UP_MS);
+  await cluster.membership.setFaults({ lagMs: MEMBERSHIP_LAG_MS });
+  await cluster.table.setFaults({ outage: true });
+  const drained: { server: BackendServer; at: number; status: number }[] = [];
+  for (const pool of POOLS) {
+    const server = cluster.serversOf(pool)[0]!;
+    const entry = cluster.entries[drained.length % cluster.entries.length]!;
+    const at = Date.now();
+    const answer = cluster.naive
+      ? { status: 200 }
+      : await setDraining(entry.address, server.id, 'drain');
+    drained.push({ server, at, status: answer.status });
+  }
+  await cluster.membership.setInstances(
+    leaving(
+      cluster,
+      drained.map(({ server }) => server),
+    ),
+  );
+  await running;
+  const violations = [...(await lateWork(drained)), ...failures(load)];
+  const outages = await cluster.table.faultCount();
+  return {
+    requests: load.records.length,
+    faults: {
+      drain: drained.length,
+      'table-outage': cluster.naive ? 1 : outages,
+      'membership-lag': 1,
+    },
+    violations,
+  };
+}
+
+function leaving(
+  cluster: Cluster,
+  servers: readonly BackendServer[],
+): ReturnType<Cluster['instances']> {
+  const ids = new Set(servers.map((server) => `agent-${server.id}`));
+  return cluster
+    .instances()
+    .map((instance) => (ids.has(instance.id) ? { ...instance, state: 'leaving' } : instance));
+}
+
+async function lateWork(
+  drained: readonly { server: BackendServer; at: number; status: number }[],
+): Promise<string[]> {
+  const found = drained.map(async ({ server, at, status }) => {
+    const runs = await server.control.runs();
+    const late = runs.filter((run) => run.startedAt > at + DRAIN_BOUND_MS);
+    const before = runs.filter((run) => run.startedAt <= at).length;
+    const violations: string[] = [];
+    if (late.length > 0) violations.push(`${server.id}: ${late.length} runs began after 3 s`);
+    if (status !== 200) violations.push(`${server.id}: the drain was answered with ${status}`);
+    if (before === 0) violations.push(`${server.id}: had no work before the drain`);
+    return violations;
+  });
+  return (await Promise.all(found)).flat();
+}
+
+function failures(load: MixedLoad): string[] {
+  return load.records.flatMap((record) => {
+    const { answer } = record;
+    if (answer.kind === 'result') return [];
+    const reason = answer.kind === 'error' ? answer.error.message : answer.message;
+    return [`${nameOf(record)}: ${reason}`];
+  });
+}
--- a/src/load/prove/FaultActions.ts
+++ b/src/load/prove/FaultActions.ts
@@ -64,7 +64,7 @@
   return 1;
 }
 
-/** Counts the calls that the fault hit; a slow service counts once. */
+/** Counts the calls that the fault hit; a slow or stale service counts once. */
 async function withFaults(
   standin: StandinClient,
   faults: z.input<typeof Faults>,
@@ -75,7 +75,7 @@
   await sleep(durationMs);
   const healthy = Object.entries(Faults.parse({})).filter(([name]) => name in faults);
   await standin.setFaults(Object.fromEntries(healthy));
-  const isSlowness = 'delayMs' in faults || 'slowFactor' in faults;
+  const isSlowness = ['delayMs', 'slowFactor', 'staleReadMs'].some((name) => name in faults);
   return isSlowness ? 1 : (await standin.faultCount()) - before;
 }
 
@@ -112,6 +112,19 @@
   return count() - before;
 }
 
+/** An entry and an agent are replaced while the store is down. */
+async function startDuringOutage(target: FaultTarget): Promise<number> {
+  const { table } = target.cluster;
+  await table.setFaults({ outage: true });
+  const replaced = await Promise.all([
+    killAndReplace(pickEntry(target)),
+    killAndReplace(pickAgent(target)?.process),
+  ]);
+  await sleep(LONG_MS);
+  await table.setFaults({ outage: false });
+  return Math.min(...replaced);
+}
+
 /** What each fault does. */
 export const FAULT_ACTIONS = {
   'kill-agent': (target) => killAndReplace(pickAgent(target)?.process),
@@ -128,6 +141,8 @@
   'silent-table-connections': async ({ cluster }) => cluster.tableRelay?.silence() ?? 0,
   'table-lost-answers': tableFault({ lostAnswerShare: 0.4 }),
   'table-outage': tableFault({ outage: true }),
+  'table-stale-reads': tableFault({ staleReadMs: 3000 }),
+  'table-outage-with-start': startDuringOutage,
   'table-slow': tableFault({ delayMs: 150 }),
   'server-lost-answers': serverFault({ lostAnswerShare: 0.3 }),
   'server-errors': serverFault({ errorShare: 0.5 }),
--- /dev/null
+++ b/src/load/prove/NaivePublisher.ts
@@ -0,0 +1,35 @@
+/** Publishing without version checks: the last writer wins. */
+import {
+  CONFIGURATION_HEAD_KEY,
+  CONFIGURATION_TABLE,
+  changeKey,
+  type ChangeSubject,
+} from '../../common/protocol/Configuration.js';
+import { commit, scanTable } from '../client/TableReader.js';
+
+/**
+ * Reads the newest revision and writes the next one without a check.
+ * @param address - `ip:port` of the table service
+ * @param subject - what is changed
+ * @param changeId - id of the change
+ * @returns revision written, or undefined if the write failed
+ */
+export async function publishNaively(
+  address: string,
+  subject: ChangeSubject,
+  changeId: string,
+): Promise<number | undefined> {
+  try {
+    const rows = await scanTable(address, CONFIGURATION_TABLE, 'change/');
+    const revision = rows.length + 1;
+    const change = { revision, changeId, author: 'naive', at: Date.now(), subject };
+    const table = CONFIGURATION_TABLE;
+    const writes = [
+      { table, key: CONFIGURATION_HEAD_KEY, value: { revision } },
+      { table, key: changeKey(revision), value: change },
+    ];
+    return (await commit(address, { checks: [], writes })) ? revision : undefined;
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/src/load/prove/Shutdown.ts
@@ -0,0 +1,79 @@
+/** Promise 6: a graceful shutdown of an entry or an agent interrupts no request. */
+import { setTimeout as sleep } from 'node:timers/promises';
+import { findWrongAnswer } from '../client/AnswerCheck.js';
+import type { Cluster } from '../launch/Cluster.js';
+import type { EntryInstance } from '../launch/Types.js';
+import { Balancer } from './Balancer.js';
+import { MixedLoad, nameOf } from './MixedLoad.js';
+import { waitUntilReady } from './Recovery.js';
+import type { Proof, ProofContext, ProofOutcome } from './Types.js';
+import { withCluster } from './WithCluster.js';
+
+const REQUESTS_PER_SECOND = 12;
+const SHUTDOWN_TIMEOUT_MS = 12_000;
+const PAUSE_MS = 700;
+
+/** Several times the interval of the balancer's health checks. */
+const BALANCER_DELAY_MS = 600;
+
+/** Pools with a second server that can take over. */
+const POOLS = ['engines', 'retrievers', 'bookings', 'orders'];
+
+export const SHUTDOWN: Proof = {
+  description: 'SIGTERM on entries and agents in load cuts no request',
+  run: (context) =>
+    withCluster(
+      context,
+      { relays: false, entry: { shutdown: { balancerDelayMs: BALANCER_DELAY_MS } } },
+      (cluster) => prove(context, cluster),
+    ),
+};
+
+async function prove(context: ProofContext, cluster: Cluster): Promise<ProofOutcome> {
+  const balancer = new Balancer(cluster);
+  const options = { perSecond: REQUESTS_PER_SECOND, entries: () => balancer.healthy };
+  const load = new MixedLoad(cluster, options, context.random);
+  const running = load.run(context.seconds);
+  const endAt = Date.now() + context.seconds * 1000;
+  const faults = { 'terminate-entry': 0, 'terminate-agent': 0 };
+  const violations: string[] = [];
+  for (let turn = 0; Date.now() < endAt; turn += 1) {
+    await sleep(PAUSE_MS);
+    const entry = cluster.entries[turn % cluster.entries.length]!;
+    violations.push(...(await replace(entry)));
+    faults['terminate-entry'] += 1;
+    if (cluster.naive) continue;
+    const agents = cluster.agentsOf(POOLS[turn % POOLS.length]!);
+    const agent = agents[turn % agents.length]!;
+    violations.push(...(await replace(agent)));
+    faults['terminate-agent'] += 1;
+  }
+  await running;
+  balancer.stop();
+  violations.push(...interrupted(load));
+  const counts = cluster.naive ? { 'terminate-entry': faults['terminate-entry'] } : faults;
+  return { requests: load.records.length, faults: counts, violations };
+}
+
+/** Terminates a process, waits for its end and starts it again. */
+async function replace(member: Pick<EntryInstance, 'process' | 'address'>): Promise<string[]> {
+  const { process, address } = member;
+  const isGraceful = await process.terminate(SHUTDOWN_TIMEOUT_MS);
+  const code = process.exitCode;
+  await process.start();
+  if (process.specification.binary !== 'citronstage-load') await waitUntilReady(address);
+  if (!isGraceful) return [`${process.name}: did not end within ${SHUTDOWN_TIMEOUT_MS} ms`];
+  const isExpected = code === 0 || process.specification.binary === 'citronstage-load';
+  return isExpected ? [] : [`${process.name}: ended with exit code ${code}`];
+}
+
+function interrupted(load: MixedLoad): string[] {
+  return load.records.flatMap((record) => {
+    const { answer, traffic, input } = record;
+    const fault = findWrongAnswer(traffic.template, input, answer);
+    if (fault !== undefined) return [`${nameOf(record)}: ${fault}`];
+    if (answer.kind === 'result') return [];
+    const reason = answer.kind === 'error' ? answer.error.message : answer.message;
+    return [`${nameOf(record)} through ${record.entry.id}: ${reason}`];
+  });
+}
