Let a replay get past a refusal that an earlier request was given

Cause: attempt ids of keyed requests are derived from the key, and an agent keeps a refusal under the attempt id for its retention time. A request refused with `claim-unavailable` during a store outage made every replay of its key fail with the same old refusal for 60 s after the store was healthy again.

Ruled out: letting the agent forget refusals. A copy of the attempt that was delayed in the network could then run after the caller was told that it did not.

The entry now sends one more attempt with a random id after `claim-unavailable` or `voided`. The claim row still lets only one attempt run.

--- a/src/entry/RefusalActions.ts
+++ b/src/entry/RefusalActions.ts
@@ -6,11 +6,13 @@
  * - `try-next`: another server may take it.
  * - `try-again`: the same server may take it a little later.
  * - `new-id`: the attempt id is in use for another input.
+ * - `try-fresh`: an earlier request with the same key may have got this refusal. The agent keeps it
+ *   under the derived attempt id, so one attempt with an id of its own tells what holds now.
  * - `settle`: another attempt holds the claim.
  * - `fail`: no server will take it.
  */
 export interface RefusalAction {
-  readonly kind: 'try-next' | 'try-again' | 'new-id' | 'settle' | 'fail';
+  readonly kind: 'try-next' | 'try-again' | 'new-id' | 'try-fresh' | 'settle' | 'fail';
   /** Error that the caller gets if the request fails because of it. */
   readonly failure: CallerErrorKind;
 }
@@ -20,9 +22,9 @@
   infeasible: { kind: 'try-next', failure: 'infeasible' },
   'queue-full': { kind: 'try-next', failure: 'overloaded' },
   'stale-revision': { kind: 'try-again', failure: 'unavailable' },
-  voided: { kind: 'try-again', failure: 'unavailable' },
+  voided: { kind: 'try-fresh', failure: 'unavailable' },
   claimed: { kind: 'settle', failure: 'outcome-unknown' },
-  'claim-unavailable': { kind: 'fail', failure: 'unavailable' },
+  'claim-unavailable': { kind: 'try-fresh', failure: 'unavailable' },
   'attempt-mismatch': { kind: 'new-id', failure: 'idempotency-key-reused' },
   'idempotency-key-reused': { kind: 'fail', failure: 'idempotency-key-reused' },
   'wrong-server': { kind: 'try-next', failure: 'unavailable' },
--- a/src/entry/StageRun.ts
+++ b/src/entry/StageRun.ts
@@ -39,7 +39,7 @@
 
   private replacesClaim: Claim | undefined;
 
-  /** True if derived attempt ids are in use for another input. */
+  /** True if derived attempt ids are in use for another input or were refused. */
   private randomIds = false;
 
   private lastFailure: Omit<Failure, 'outcome'> = {
@@ -193,6 +193,12 @@
         this.tried.clear();
         return null;
       },
+      'try-fresh': () => {
+        const isOwn = this.randomIds || this.task.context.idempotencyKey === undefined;
+        if (isOwn) return this.fail(action.failure, frame.message, frame.retryAfterMs);
+        this.randomIds = true;
+        return this.tryAgain(frame);
+      },
       settle: () => this.settleClaim(frame),
       fail: () => this.fail(action.failure, frame.message, frame.retryAfterMs),
     };
