--- a/src/load/demo/Demo.ts
+++ b/src/load/demo/Demo.ts
@@ -99,7 +99,8 @@
 }
 
 async function printTrace(cluster: Cluster, plan: CallerAnswer, print: Print): Promise<void> {
-  const spans = parseSpans(await readFile(join(cluster.launcher.folder, TRACE_FILE), 'utf8'));
+  const file = join(cluster.launcher.folder, TRACE_FILE);
+  const spans = parseSpans(await readFile(file, 'utf8').catch(() => ''));
   const requestId = plan.kind === 'result' ? plan.result.requestId : '';
   const root = spans.find((span) => Object.values(span.attributes).includes(requestId)) ?? spans[0];
   print('');
--- a/src/load/prove/RevisionWatch.ts
+++ b/src/load/prove/RevisionWatch.ts
@@ -1,4 +1,5 @@
 import { setTimeout as sleep } from 'node:timers/promises';
+import type { EntryRouter } from '../../entry/EntryRouter.js';
 import { createClients } from '../../follower/ConfigurationClients.js';
 import { INTERNAL_TOKEN, type Cluster } from '../launch/Cluster.js';
 import type { ManagedProcess } from '../launch/ManagedProcess.js';
@@ -28,7 +29,7 @@
 
   private readonly accepted: Accepted[] = [];
 
-  private readonly clientAt = createClients(INTERNAL_TOKEN);
+  private readonly clientAt = createClients<EntryRouter>(INTERNAL_TOKEN);
 
   private stopped = false;
 
