--- a/src/entry/RefusalActions.ts
+++ b/src/entry/RefusalActions.ts
@@ -7,11 +7,13 @@
  * - `try-again`: the same server may take it a little later.
  * - `new-try`: the attempt was voided, by another entry; a new one may run.
  * - `new-id`: the attempt id is in use for another input.
+ * - `try-fresh`: an earlier request with the same key may have got this refusal. The agent keeps it
+ *   under the derived attempt id, so one attempt with an id of its own tells what holds now.
  * - `settle`: another attempt holds the claim.
  * - `fail`: no server will take it.
  */
 export interface RefusalAction {
-  readonly kind: 'try-next' | 'try-again' | 'new-try' | 'new-id' | 'settle' | 'fail';
+  readonly kind: 'try-next' | 'try-again' | 'new-try' | 'new-id' | 'try-fresh' | 'settle' | 'fail';
   /** Error that the caller gets if the request fails because of it. */
   readonly failure: CallerErrorKind;
 }
@@ -25,7 +27,7 @@
   'stale-revision': { kind: 'try-again', failure: 'unavailable' },
   voided: { kind: 'new-try', failure: 'unavailable' },
   claimed: { kind: 'settle', failure: 'outcome-unknown' },
-  'claim-unavailable': { kind: 'fail', failure: 'unavailable' },
+  'claim-unavailable': { kind: 'try-fresh', failure: 'unavailable' },
   'attempt-mismatch': { kind: 'new-id', failure: 'idempotency-key-reused' },
   'idempotency-key-reused': { kind: 'fail', failure: 'idempotency-key-reused' },
   invalid: { kind: 'fail', failure: 'bad-request' },
--- a/src/entry/StageRun.ts
+++ b/src/entry/StageRun.ts
@@ -43,7 +43,7 @@
 
   private voidedTries = 0;
 
-  /** True if derived attempt ids are in use for another input. */
+  /** True if derived attempt ids are in use for another input or were refused. */
   private randomIds = false;
 
   private lastFailure: Omit<Failure, 'outcome'> = {
@@ -206,6 +206,12 @@
         this.tried.clear();
         return null;
       },
+      'try-fresh': () => {
+        const isOwn = this.randomIds || this.task.context.idempotencyKey === undefined;
+        if (isOwn) return this.fail(action.failure, frame.message, frame.retryAfterMs);
+        this.randomIds = true;
+        return this.tryAgain(frame);
+      },
       settle: () => this.settleClaim(frame),
       fail: () => this.fail(action.failure, frame.message, frame.retryAfterMs),
     };
