Let clients of the engine stand-in cancel a completion and learn its usage

Cause: a completion that is cancelled by closing the connection runs on through the grace time, and the client never learns what it used. The meter of the stand-in and the bill of the agent then differ for cancelled work.

DELETE /v1/completions/{request_id} cancels at once and answers with the final usage after the running step was charged; asked again, it gives the same answer for as long as finished completions are kept. Backend.ts gets the schema of this answer; no existing schema changes.

Ruled out: usage in every chunk. Readers take a chunk with usage as the last one, and the step in progress would still be missing.

Conclusion: a test compares the answer with the run log.

--- a/src/common/protocol/Backend.ts
+++ b/src/common/protocol/Backend.ts
@@ -48,6 +48,13 @@
 });
 export type CompletionChunk = z.infer<typeof CompletionChunk>;
 
+/**
+ * Answer of `DELETE /v1/completions/{request_id}`, which cancels a completion at once. `usage` is final; it is
+ * also given for a completion that is already over. Status 404: the engine does not know the completion.
+ */
+export const CompletionCancelled = z.object({ id: z.string(), usage: BackendUsage });
+export type CompletionCancelled = z.infer<typeof CompletionCancelled>;
+
 /** Body and answer of `POST /v1/embeddings`. */
 export const EmbeddingRequest = z.object({ model: z.string().optional(), input: z.string() });
 export const EmbeddingResponse = z.object({
--- a/src/standin/engine/Batch.ts
+++ b/src/standin/engine/Batch.ts
@@ -89,6 +89,7 @@
     if (run.isOver) return;
     const position = this.waitingRuns.indexOf(run);
     if (position >= 0) this.waitingRuns.splice(position, 1);
+    target.isSettled = position >= 0;
     target.state = 'cancelled';
     run.progress.fire();
     this.loadChange.fire();
@@ -170,9 +171,11 @@
     this.counts.steps += 1;
     this.counts.busyMs += step.busyMs;
     step.shares.forEach((share) => this.finishShare(share));
-    this.active = this.active.filter((run) => !run.isOver);
-    step.shares.forEach(({ run }) => {
-      if (run.state !== 'cancelled') run.progress.fire();
+    const members = this.active;
+    this.active = members.filter((run) => !run.isOver);
+    members.forEach((run) => {
+      Object.assign(run, { isSettled: run.isOver });
+      run.progress.fire();
     });
   }
 
--- a/src/standin/engine/EngineRun.ts
+++ b/src/standin/engine/EngineRun.ts
@@ -15,6 +15,9 @@
 export class EngineRun {
   state: 'waiting' | 'running' | 'finished' | 'cancelled' = 'waiting';
 
+  /** True if the completion is over and charged for its last step. */
+  isSettled = false;
+
   /** Prompt tokens that still have to be processed. */
   promptTokensLeft: number;
 
--- a/src/standin/engine/EngineService.test.ts
+++ b/src/standin/engine/EngineService.test.ts
@@ -128,6 +128,21 @@
   assert.equal((await standins.counters('resume')).cancelled, 1);
 });
 
+test('cancelling by request gives the final usage at once, so cancelled work can be billed', async () => {
+  const url = `${standins.url('resume')}/v1/completions/deleted`;
+  const earlier = await standins.counters('resume');
+  const reading = stream('resume', body('deleted', 2000));
+  await sleep(50);
+  const answer = await standins.call('DELETE', url);
+  assert.equal((await reading).isDone, false);
+  const runs = await standins.call('GET', `${standins.url('resume')}/control/runs`);
+  const run = runs.body.find((entry: { attemptId: string }) => entry.attemptId === 'deleted');
+  assert.equal(answer.body.usage.accelerator_ms, run.acceleratorMs);
+  assert.deepEqual((await standins.call('DELETE', url)).body, answer.body);
+  const counters = await standins.counters('resume');
+  assert.deepEqual([counters.running, counters.cancelled], [0, earlier.cancelled + 1]);
+});
+
 test('a request id in use for another prompt is rejected', async () => {
   await stream('resume', body('same', 2));
   const url = `${standins.url('resume')}/v1/completions`;
--- a/src/standin/engine/EngineService.ts
+++ b/src/standin/engine/EngineService.ts
@@ -15,6 +15,8 @@
 import { RunRegistry } from './RunRegistry.js';
 import type { EngineOptions } from './Types.js';
 
+const COMPLETION_PREFIX = '/v1/completions/';
+
 /** Answers to completions of models that are not loaded. */
 const MODEL_ERRORS: Readonly<Record<Exclude<ModelState, 'loaded'>, Answer>> = {
   absent: { status: 404, body: { error: 'model not found' } },
@@ -55,6 +57,11 @@
     'POST /v1/orders': { hasEffect: true, handle: (call) => this.applyOrder(call) },
   };
 
+  private readonly cancelRoute: Route = {
+    hasEffect: true,
+    handle: (call) => this.cancel(call),
+  };
+
   constructor(
     private readonly options: EngineOptions,
     private readonly state: FaultState,
@@ -68,6 +75,7 @@
   }
 
   route(method: string, path: string): Route | undefined {
+    if (method === 'DELETE' && path.startsWith(COMPLETION_PREFIX)) return this.cancelRoute;
     return this.routes[`${method} ${path}`];
   }
 
@@ -155,6 +163,21 @@
     });
   }
 
+  /** Answers when the completion is charged for its last step, so that the usage is final. */
+  private cancel(call: Call): Promise<Answer> | Answer {
+    const id = decodeURIComponent(call.path.slice(COMPLETION_PREFIX.length));
+    const run = this.registry.findAny(id);
+    if (!run) return { status: 404, body: { error: 'no such completion' } };
+    this.registry.cancel(run);
+    return new Promise((resolve) => {
+      const answer = (): void => {
+        if (run.isSettled) resolve({ status: 200, body: { id, usage: usageOf(run) } });
+      };
+      run.progress.event(answer);
+      answer();
+    });
+  }
+
   private listCacheEvents(call: Call): Answer {
     const after = Number(call.query.get('after') ?? 0);
     const lagMs = this.options.cacheEventLagMs + this.state.faults.lagMs;
--- a/src/standin/engine/RunRegistry.ts
+++ b/src/standin/engine/RunRegistry.ts
@@ -20,6 +20,7 @@
 export class RunRegistry {
   private readonly live = new Map<string, EngineRun>();
 
+  /** Completions that are over. */
   private readonly finished: LRUCache<string, EngineRun>;
 
   private readonly attachments = new Map<EngineRun, Attachment>();
@@ -33,16 +34,25 @@
     this.finished = new LRUCache({ max: MAX_FINISHED, ttl: options.retainMs });
   }
 
-  /** Number of completions cancelled because no connection read them. */
+  /** Number of completions cancelled by request or because no connection read them. */
   get cancelled(): number {
     return this.cancelledRuns;
   }
 
   /**
    * @param requestId - id given by the client
-   * @returns a running or recently finished completion
+   * @returns a running or recently finished completion, which can be read
    */
   find(requestId: string): EngineRun | undefined {
+    const run = this.findAny(requestId);
+    return run?.state === 'cancelled' ? undefined : run;
+  }
+
+  /**
+   * @param requestId - id given by the client
+   * @returns the newest completion of this id, which may have been cancelled
+   */
+  findAny(requestId: string): EngineRun | undefined {
     return this.live.get(requestId) ?? this.finished.get(requestId);
   }
 
@@ -56,7 +66,7 @@
       clearTimeout(this.attachments.get(run)?.graceTimer);
       this.attachments.delete(run);
       if (this.live.get(id) === run) this.live.delete(id);
-      if (run.state === 'finished') this.finished.set(id, run);
+      this.finished.set(id, run);
     });
     this.batch.add(run);
   }
@@ -79,12 +89,17 @@
     attachment.connections -= 1;
     if (attachment.connections > 0) return;
     attachment.graceTimer = setTimeout(() => {
-      if (run.isOver) return;
-      this.cancelledRuns += 1;
-      this.batch.cancel(run);
+      this.cancel(run);
     }, this.options.resumeGraceMs);
   }
 
+  /** @param run - completion to end early; no effect on one that is over */
+  cancel(run: EngineRun): void {
+    if (run.isOver) return;
+    this.cancelledRuns += 1;
+    this.batch.cancel(run);
+  }
+
   dispose(): void {
     this.attachments.forEach(({ graceTimer }) => clearTimeout(graceTimer));
   }
--- a/src/standin/testing/Standins.ts
+++ b/src/standin/testing/Standins.ts
@@ -57,7 +57,7 @@
    * @returns status and JSON body
    */
   async call(
-    method: 'GET' | 'POST' | 'PUT',
+    method: 'GET' | 'POST' | 'PUT' | 'DELETE',
     url: string,
     body?: unknown,
     headers: Record<string, string> = {},
