Test silent streams of the engine stand-in and object keys

Cause: two behaviours that agents rely on had no test: a stream on a connection that goes silent goes on for a new connection and is not cancelled, and the object store keeps keys with slashes and escapes apart.

--- a/src/standin/Faults.test.ts
+++ b/src/standin/Faults.test.ts
@@ -2,6 +2,7 @@
 import { after, before, test } from 'node:test';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { HttpMembershipList } from '../platform/HttpMembershipList.js';
+import { HttpObjectStore } from '../platform/HttpObjectStore.js';
 import { HttpTableStore } from '../platform/HttpTableStore.js';
 import { Faults } from './Faults.js';
 import { Standins } from './testing/Standins.js';
@@ -16,6 +17,7 @@
   await standins.start(
     { kind: 'table' },
     { kind: 'membership' },
+    { kind: 'object' },
     { kind: 'plain', serviceTime: { meanMs: 1 } },
   );
   store = new HttpTableStore(standins.url('table'));
@@ -103,6 +105,17 @@
   await list.close();
 });
 
+test('objects are kept apart by their whole key, slashes and all', async () => {
+  const objects = new HttpObjectStore(standins.url('object'));
+  for (const key of ['a', 'a/b', 'a%2Fb', 'a?b', 'ü b'])
+    await objects.put(key, `of ${key}`, OPTIONS);
+  assert.deepEqual(await objects.get('a/b', OPTIONS), { ok: true, value: 'of a/b' });
+  assert.deepEqual(await objects.get('a%2Fb', OPTIONS), { ok: true, value: 'of a%2Fb' });
+  assert.deepEqual(await objects.get('a?b', OPTIONS), { ok: true, value: 'of a?b' });
+  assert.deepEqual(await objects.get('c', OPTIONS), { ok: true, value: null });
+  await objects.close();
+});
+
 test('a plain service repeats the effect of a repeated key, so a double run is seen', async () => {
   const call = (): Promise<{ body: unknown }> =>
     standins.call(
--- a/src/standin/engine/EngineService.test.ts
+++ b/src/standin/engine/EngineService.test.ts
@@ -128,6 +128,31 @@
   assert.equal((await standins.counters('resume')).cancelled, 1);
 });
 
+test('a silenced stream neither ends nor cancels, and goes on for a new connection', async () => {
+  const sent = body('silenced', 300);
+  const earlier = await standins.counters('resume');
+  let isOver = false;
+  let chunks = 0;
+  const silenced = request(`${standins.url('resume')}/v1/completions`, {
+    method: 'POST',
+    body: JSON.stringify(sent),
+  }).then(async (response) => {
+    for await (const part of response.body) chunks += String(part).split('\n\n').length - 1;
+    isOver = true;
+  });
+  while (chunks < 5) await sleep(1);
+  await standins.call('POST', `${standins.url('resume')}/control/silence`);
+  await sleep(50);
+  const received = chunks;
+  const rest = await stream('resume', { ...sent, resume_from: received });
+  assert.deepEqual([rest.chunks.length, rest.isDone], [300 - received, true]);
+  assert.deepEqual([chunks, isOver], [received, false]);
+  const counters = await standins.counters('resume');
+  assert.deepEqual([counters.runs, counters.cancelled], [earlier.runs + 1, earlier.cancelled]);
+  // Ends with the service.
+  silenced.catch(() => undefined);
+});
+
 test('cancelling by request gives the final usage at once, so cancelled work can be billed', async () => {
   const url = `${standins.url('resume')}/v1/completions/deleted`;
   const earlier = await standins.counters('resume');
