Eject slow, failing and unreachable servers

Latency is judged as the ratio to the typical time of the same stage, because servers of one pool run stages of different length. At most 30% of a pool is ejected for latency or errors; agents that can't be reached are avoided for 1 to 8 s and may be up to half of a pool, because sending to them costs a request the silence time-out. With a strict 30% a pool of three could never avoid a dead agent.

--- /dev/null
+++ b/src/common/routing/OutlierEjection.test.ts
@@ -0,0 +1,70 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { OutlierEjection } from './OutlierEjection.js';
+import { ServerState } from './ServerState.js';
+import { createClock } from './testing/fixtures.js';
+
+const createPool = (count: number) =>
+  new Map(Array.from({ length: count }, (_, position) => [`s${position}`, new ServerState()]));
+
+const addResults = (state: ServerState | undefined, ratio: number, count = 20) => {
+  for (let result = 0; result < count; result += 1) state!.addResult(ratio);
+};
+
+test('ejects a server that is more than 3 times slower than the median, for a doubling time', () => {
+  const clock = createClock();
+  const ejection = new OutlierEjection(clock);
+  const pool = createPool(5);
+  for (const state of pool.values()) addResults(state, 1);
+  addResults(pool.get('s0'), 5, 40);
+  assert.equal(ejection.considerLatency('s0', pool), true);
+  clock.advance(4999);
+  assert.equal(ejection.isEjected('s0'), true);
+  clock.advance(1);
+  assert.equal(ejection.isEjected('s0'), false);
+  addResults(pool.get('s0'), 5, 40);
+  assert.equal(ejection.considerLatency('s0', pool), true);
+  clock.advance(9999);
+  assert.equal(ejection.isEjected('s0'), true);
+});
+
+test('does not judge by fewer than 10 results', () => {
+  const pool = createPool(5);
+  for (const state of pool.values()) addResults(state, 1);
+  pool.get('s0')!.resetResults();
+  addResults(pool.get('s0'), 50, 9);
+  assert.equal(new OutlierEjection(createClock()).considerLatency('s0', pool), false);
+});
+
+test('ejects at most 30% of a pool, so that the others are not overloaded', () => {
+  const ejection = new OutlierEjection(createClock());
+  const pool = createPool(10);
+  for (const state of pool.values()) Object.assign(state, { consecutiveFailures: 5 });
+  const ejected = [...pool.keys()].filter((id) => ejection.considerFailure(id, 'failed', pool));
+  assert.equal(ejected.length, 3);
+});
+
+test('avoids unreachable agents at once, but never more than half of a pool', () => {
+  const ejection = new OutlierEjection(createClock());
+  const pool = createPool(4);
+  const avoided = [...pool.keys()].filter((id) =>
+    ejection.considerFailure(id, 'unreachable', pool),
+  );
+  assert.equal(avoided.length, 2);
+  ejection.readmit(avoided[0]!);
+  assert.equal(ejection.isEjected(avoided[0]!), false);
+});
+
+test('a returning server gets a growing share', () => {
+  const clock = createClock();
+  const ejection = new OutlierEjection(clock);
+  const pool = createPool(10);
+  pool.get('s0')!.consecutiveFailures = 3;
+  ejection.considerFailure('s0', 'failed', pool);
+  clock.advance(5000);
+  assert.equal(ejection.shareOf('s0'), 0.1);
+  clock.advance(5000);
+  assert.equal(ejection.shareOf('s0'), 0.5);
+  clock.advance(5000);
+  assert.equal(ejection.shareOf('s0'), 1);
+});
