Pass generated text on once when a stage is retried

A retry generates the text from offset 0. Chunks that the caller already has are compared and left out; only a differing text is sent again, from the first chunk that differs.

--- a/src/entry/CallerResponse.ts
+++ b/src/entry/CallerResponse.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { CALLER_ERROR_STATUS, type CallerError } from '../common/protocol/CallerError.js';
+import { ChunkRelay } from './ChunkRelay.js';
 import { sendJson } from './HttpBody.js';
 import type { Failure, RequestEnd } from './Types.js';
 
@@ -10,6 +11,8 @@
 export class CallerResponse {
   private readonly streaming: boolean;
 
+  private readonly chunks = new ChunkRelay((offset, text) => this.event('chunk', { offset, text }));
+
   constructor(
     request: IncomingMessage,
     private readonly response: ServerResponse,
@@ -31,9 +34,9 @@
     this.event('accepted', { requestId });
   }
 
-  /** Passes text on to a streaming caller. Offset 0 again means that the text starts anew. */
+  /** Passes text on to a streaming caller, each chunk once. */
   chunk(offset: number, text: string): void {
-    if (this.streaming) this.event('chunk', { offset, text });
+    if (this.streaming) this.chunks.relay(offset, text);
   }
 
   /** Ends the answer. */
--- a/src/entry/Types.ts
+++ b/src/entry/Types.ts
@@ -86,7 +86,7 @@
   readonly context: RequestContext;
   readonly stage: Stage;
   readonly input: Record<string, unknown>;
-  /** Takes generated text; `offset` 0 again means that the text starts anew. */
+  /** Takes generated text; a further attempt starts again at offset 0. */
   readonly onChunk: (offset: number, text: string) => void;
 }
 
