Route by load, prefix, locality and health

Candidates are hashed once per server and once per key; servers of other regions are used only if the own one has none. Equal prompt prefixes stay on their first candidate while its occupancy is at most 1.25 times the mean plus one attempt.

--- a/src/common/routing/CandidateSet.ts
+++ b/src/common/routing/CandidateSet.ts
@@ -1,17 +1,17 @@
 /** Selects the servers that a key may be sent to, by rendezvous hashing. */
 import murmurhash from 'murmurhash';
-import type { RoutedServer } from './Types.js';
+import type { Location, RoutedServer } from './Types.js';
 
-/** Where the entry is; nearer servers come first. */
-export interface Location {
-  readonly failureDomain: string;
-  readonly region: string;
-}
+const KEY_HASH_BYTES = 4;
+
+/** Hashes of agent ids; they are needed for every server on every choice. */
+const serverHashes = new WeakMap<RoutedServer, number>();
 
 /**
- * Orders servers by nearness and, among equally near ones, by rendezvous hashing of the key.
- * Adding or removing a server changes the order of no other servers, so keys stay where they are.
- * @param servers - live servers of one pool
+ * Orders servers of the entry's region by nearness and, among equally near ones, by rendezvous
+ * hashing of the key. Adding or removing a server changes the order of no other servers, so keys
+ * stay where they are. Servers of other regions are used only if the own region has none.
+ * @param servers - usable servers of one pool
  * @param key - such as the prompt prefix or the idempotency key
  * @param location - failure domain and region of the entry
  * @param count - number of candidates wanted
@@ -23,19 +23,24 @@
   location: Location,
   count: number,
 ): RoutedServer[] {
-  return servers
+  const own = servers.filter((server) => server.region === location.region);
+  const keyBytes = new Uint8Array(KEY_HASH_BYTES);
+  new DataView(keyBytes.buffer).setUint32(0, murmurhash.v3(key));
+  return (own.length > 0 ? own : servers)
     .map((server) => ({
       server,
-      distance: distanceOf(server, location),
-      score: murmurhash.v3(`${server.agentId}\u0000${key}`),
+      isNear: server.failureDomain === location.failureDomain,
+      score: murmurhash.v3(keyBytes, hashOf(server)),
     }))
-    .sort((left, right) => left.distance - right.distance || right.score - left.score)
+    .sort((left, right) => Number(right.isNear) - Number(left.isNear) || right.score - left.score)
     .slice(0, count)
     .map(({ server }) => server);
 }
 
-/** 0 in the same failure domain, 1 in the same region, 2 elsewhere. */
-function distanceOf(server: RoutedServer, location: Location): number {
-  if (server.region !== location.region) return 2;
-  return server.failureDomain === location.failureDomain ? 0 : 1;
+function hashOf(server: RoutedServer): number {
+  const known = serverHashes.get(server);
+  if (known !== undefined) return known;
+  const hash = murmurhash.v3(server.agentId);
+  serverHashes.set(server, hash);
+  return hash;
 }
--- /dev/null
+++ b/src/common/routing/RetryBudget.test.ts
@@ -0,0 +1,23 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { RetryBudget } from './RetryBudget.js';
+
+const spendAll = (budget: RetryBudget) => {
+  let spent = 0;
+  while (budget.trySpend()) spent += 1;
+  return spent;
+};
+
+test('extra attempts stay under the share of first attempts, so that retries do not feed overload', () => {
+  const budget = new RetryBudget(0.1, 3);
+  assert.equal(spendAll(budget), 3);
+  for (let first = 0; first < 205; first += 1) budget.earn();
+  assert.equal(spendAll(budget), 20);
+});
+
+test('a share of 0 allows none, and a quiet time saves up a limited number', () => {
+  assert.equal(spendAll(new RetryBudget(0, 3)), 0);
+  const budget = new RetryBudget(0.5, 0);
+  for (let first = 0; first < 1000; first += 1) budget.earn();
+  assert.equal(spendAll(budget), 100);
+});
--- a/src/common/routing/RetryBudget.ts
+++ b/src/common/routing/RetryBudget.ts
@@ -1,14 +1,19 @@
-/** Tokens that a new process starts with, and the most that are saved up. */
-const INITIAL_TOKENS = 10;
+/** Most extra attempts that are saved up; a burst of failures spends them at once. */
 const MAX_TOKENS = 100;
 
 /** Limits extra attempts to a share of first attempts, so that they can't multiply an overload. */
 export class RetryBudget {
-  private tokens = INITIAL_TOKENS;
+  private tokens: number;
 
-  /** @param share - extra attempts over first attempts, 0 to 1; 0 allows none at all */
-  constructor(private readonly share: number) {
-    if (share === 0) this.tokens = 0;
+  /**
+   * @param share - extra attempts over first attempts, 0 to 1; 0 allows none at all
+   * @param initialTokens - extra attempts that a new process may make
+   */
+  constructor(
+    private readonly share: number,
+    initialTokens: number,
+  ) {
+    this.tokens = share === 0 ? 0 : initialTokens;
   }
 
   /** Notes a first attempt. */
--- a/src/common/routing/Router.ts
+++ b/src/common/routing/Router.ts
@@ -1,102 +1,166 @@
 import type { Load } from '../protocol/Attempt.js';
-import type { RandomSource } from '../time/Types.js';
-import { selectCandidates, type Location } from './CandidateSet.js';
-import type { RoutedServer } from './Types.js';
+import type { Clock, RandomSource } from '../time/Types.js';
+import { selectCandidates } from './CandidateSet.js';
+import { OutlierEjection, type PoolStates } from './OutlierEjection.js';
+import { ServerState } from './ServerState.js';
+import { StageTimes } from './StageTimes.js';
+import type {
+  FailureSignal,
+  Location,
+  RoutedServer,
+  RoutedTimes,
+  RoutedWork,
+  RouteRequest,
+} from './Types.js';
+
+/** The first candidate keeps its key while its occupancy is at most this many times the mean. */
+const AFFINITY_BOUND = 1.25;
+
+/** Parts of the policy that can be switched off. */
+export interface RouterPolicy {
+  /** Candidates per choice. */
+  readonly candidates: number;
+  readonly loadAware: boolean;
+  readonly prefixAffinity: boolean;
+  readonly ejection: boolean;
+}
 
 /** What the router needs of its surroundings. */
 export interface RouterOptions {
+  readonly clock: Clock;
   readonly random: RandomSource;
   readonly location: Location;
-  /** Candidates per choice. */
-  readonly candidates: number;
+  readonly policy: RouterPolicy;
   /** @returns live servers of a pool. */
   readonly serversOf: (pool: string) => readonly RoutedServer[];
 }
 
-/** What a server is wanted for. */
-export interface RouteRequest {
-  readonly pool: string;
-  /** Selects the candidate set; equal keys have equal candidates on all entries. */
-  readonly key: string;
-  /** True if the first candidate must be taken, so that a repeated request joins its attempt. */
-  readonly sticky: boolean;
-  /** Agents that were tried before. */
-  readonly exclude: ReadonlySet<string>;
-}
-
-/** What was run, as far as it matters for expected times. */
-export interface RoutedWork {
-  readonly template: string;
-  readonly stage: string;
-}
-
-/** Times of a result, in milliseconds. */
-export interface RoutedResult {
-  readonly queueMs: number;
-  readonly serviceMs: number;
-}
-
-/** Chooses backend servers. */
+/** Chooses backend servers from what their answers tell; there are no messages of its own. */
 export class Router {
-  private readonly loads = new Map<string, Load>();
+  readonly times: StageTimes;
 
-  private readonly incarnations = new Map<string, string>();
+  private readonly states = new Map<string, ServerState>();
 
-  private readonly outstanding = new Map<string, number>();
+  private readonly ejection: OutlierEjection;
 
-  constructor(private readonly options: RouterOptions) {}
+  constructor(private readonly options: RouterOptions) {
+    this.times = new StageTimes(options.clock);
+    this.ejection = new OutlierEjection(options.clock);
+  }
 
   /**
    * @param request - what the server is wanted for
    * @returns a server, or null if the pool has none left
    */
   choose(request: RouteRequest): RoutedServer | null {
-    const servers = this.options
+    const untried = this.options
       .serversOf(request.pool)
-      .filter((server) => !request.exclude.has(server.agentId))
-      .filter((server) => !this.loads.get(server.agentId)?.draining);
+      .filter((server) => !request.exclude.has(server.agentId));
+    const usable = untried.filter((server) => this.isUsable(server.agentId));
+    const { location, policy } = this.options;
     const candidates = selectCandidates(
-      servers,
+      usable.length > 0 ? usable : untried,
       request.key,
-      this.options.location,
-      this.options.candidates,
+      location,
+      policy.candidates,
     );
-    if (request.sticky || candidates.length < 2) return candidates[0] ?? null;
+    if (candidates.length < 2 || request.placement === 'sticky') return candidates[0] ?? null;
+    if (!policy.loadAware) return this.chooseAny(candidates);
+    const wantsFirst = request.placement === 'affinity' && policy.prefixAffinity;
+    if (wantsFirst && this.isWithinBound(candidates)) return candidates[0]!;
     return this.chooseOfTwo(candidates);
   }
 
   /** Notes that an attempt was sent to an agent. */
   begin(agentId: string): void {
-    this.outstanding.set(agentId, (this.outstanding.get(agentId) ?? 0) + 1);
+    this.stateOf(agentId).outstanding += 1;
   }
 
   /** Notes that an attempt sent to an agent has ended. */
   end(agentId: string): void {
-    const count = (this.outstanding.get(agentId) ?? 0) - 1;
-    if (count > 0) this.outstanding.set(agentId, count);
-    else this.outstanding.delete(agentId);
+    const state = this.stateOf(agentId);
+    state.outstanding = Math.max(0, state.outstanding - 1);
   }
 
   /** Takes the load that an agent reported, and the incarnation that reported it. */
   reportLoad(agentId: string, load: Load, incarnation: string): void {
-    this.loads.set(agentId, load);
-    this.incarnations.set(agentId, incarnation);
+    const state = this.stateOf(agentId);
+    state.report(load, this.options.clock.now());
+    state.incarnation = incarnation;
+  }
+
+  /**
+   * Takes a result.
+   * @returns true if the server was ejected because of its latency
+   */
+  reportResult(server: RoutedServer, work: RoutedWork, times: RoutedTimes): boolean {
+    const expected = this.times.expect(work);
+    const ratio = expected && times.serviceMs / Math.max(1, expected.medianServiceMs);
+    this.stateOf(server.agentId).addResult(ratio);
+    this.times.add(work, times);
+    if (!this.options.policy.ejection) return false;
+    return this.ejection.considerLatency(server.agentId, this.poolStates(server.pool));
   }
 
-  /** Takes a result of a server. */
-  reportResult(
-    _server: RoutedServer,
-    _work: RoutedWork,
-    _result: RoutedResult,
-    _ms: number,
-  ): void {}
+  /**
+   * Takes a failure.
+   * @returns true if the server was ejected because of it
+   */
+  reportFailure(server: RoutedServer, signal: FailureSignal): boolean {
+    this.stateOf(server.agentId).consecutiveFailures += 1;
+    if (!this.options.policy.ejection) return false;
+    const states = this.poolStates(server.pool);
+    return this.ejection.considerFailure(server.agentId, signal, states);
+  }
 
-  /** Notes that a server failed an attempt or that its agent could not be reached. */
-  reportFailure(_agentId: string): void {}
+  /** @returns agents that are avoided because they could not be reached. */
+  unreachableAgents(): string[] {
+    return this.ejection.unreachable();
+  }
+
+  /** Uses an agent again that was found to be reachable. */
+  readmit(agentId: string): void {
+    this.ejection.readmit(agentId);
+  }
 
   /** @returns last known incarnation of an agent, or null. */
   incarnationOf(agentId: string): string | null {
-    return this.incarnations.get(agentId) ?? null;
+    return this.states.get(agentId)?.incarnation ?? null;
+  }
+
+  /** @returns shortest expected queueing time in a pool, in ms; 0 if nothing is known. */
+  expectedWaitMs(pool: string): number {
+    const now = this.options.clock.now();
+    const waits = this.options
+      .serversOf(pool)
+      .filter(({ agentId }) => this.isUsable(agentId))
+      .map(({ agentId }) => this.states.get(agentId)?.waitMs(now) ?? 0);
+    return waits.length > 0 ? Math.min(...waits) : 0;
+  }
+
+  /** @returns state of a server for status reports. */
+  describe(agentId: string): 'live' | 'ejected' | 'draining' {
+    if (this.states.get(agentId)?.isDraining(this.options.clock.now())) return 'draining';
+    return this.ejection.isEjected(agentId) ? 'ejected' : 'live';
+  }
+
+  /** Forgets servers that are not listed any more and have no attempts of this entry. */
+  retain(agentIds: ReadonlySet<string>): void {
+    this.times.prune();
+    for (const [agentId, state] of this.states) {
+      if (agentIds.has(agentId) || state.outstanding > 0) continue;
+      this.states.delete(agentId);
+      this.ejection.forget(agentId);
+    }
+  }
+
+  private isUsable(agentId: string): boolean {
+    if (this.states.get(agentId)?.isDraining(this.options.clock.now())) return false;
+    return !this.ejection.isEjected(agentId);
+  }
+
+  private chooseAny(candidates: readonly RoutedServer[]): RoutedServer {
+    return candidates[Math.floor(this.options.random.next() * candidates.length)]!;
   }
 
   private chooseOfTwo(candidates: readonly RoutedServer[]): RoutedServer {
@@ -104,12 +168,36 @@
     const offset = 1 + Math.floor(this.options.random.next() * (candidates.length - 1));
     const left = candidates[first]!;
     const right = candidates[(first + offset) % candidates.length]!;
-    return this.loadOf(left.agentId) <= this.loadOf(right.agentId) ? left : right;
+    return this.costOf(left.agentId) <= this.costOf(right.agentId) ? left : right;
+  }
+
+  /** Expected time in the server relative to an idle typical one; a slow start makes it look busier. */
+  private costOf(agentId: string): number {
+    const state = this.stateOf(agentId);
+    const occupancy = state.occupancy(this.options.clock.now()) + 1 / state.slots;
+    return (occupancy * Math.max(1, state.slowness)) / this.ejection.shareOf(agentId);
+  }
+
+  private isWithinBound(candidates: readonly RoutedServer[]): boolean {
+    const now = this.options.clock.now();
+    const occupancies = candidates.map(({ agentId }) => this.stateOf(agentId).occupancy(now));
+    const first = this.stateOf(candidates[0]!.agentId);
+    const mean = occupancies.reduce((sum, value) => sum + value, 0) / occupancies.length;
+    const share = this.ejection.shareOf(candidates[0]!.agentId);
+    return share === 1 && occupancies[0]! <= AFFINITY_BOUND * mean + 1 / first.slots;
+  }
+
+  private poolStates(pool: string): PoolStates {
+    return new Map(
+      this.options.serversOf(pool).map(({ agentId }) => [agentId, this.stateOf(agentId)]),
+    );
   }
 
-  private loadOf(agentId: string): number {
-    const load = this.loads.get(agentId);
-    const own = this.outstanding.get(agentId) ?? 0;
-    return own + (load ? (load.running + load.waiting) / load.slots : 0);
+  private stateOf(agentId: string): ServerState {
+    const known = this.states.get(agentId);
+    if (known) return known;
+    const state = new ServerState();
+    this.states.set(agentId, state);
+    return state;
   }
 }
--- a/src/entry/Entry.ts
+++ b/src/entry/Entry.ts
@@ -1,4 +1,5 @@
 import type { Clock, RandomSource } from '../common/time/Types.js';
+import type { Instance } from '../common/protocol/Membership.js';
 import type { EntryControl } from '../common/protocol/Control.js';
 import { RetryBudget } from '../common/routing/RetryBudget.js';
 import { Router } from '../common/routing/Router.js';
@@ -18,8 +19,16 @@
 import { StageRunner } from './StageRunner.js';
 import type { UsageRecorder } from './Types.js';
 
+/** Time for connections to become idle after their last answer. */
 const POLL_INTERVAL_MS = 25;
 
+/** Retries allowed before any budget is earned: a restarted entry may meet failing servers at once. */
+const INITIAL_RETRIES = 10;
+
+/** Interval at which agents that could not be reached are asked whether they can be again. */
+const PROBE_INTERVAL_MS = 500;
+const PROBE_ID = 'probe';
+
 /** Services that an entry is made of; tests replace them. */
 export interface EntryOptions {
   readonly settings: EntrySettings;
@@ -43,8 +52,12 @@
 
   private readonly agents: AgentClient;
 
+  private readonly router: Router;
+
   private readonly callers: CallerApi;
 
+  private probeTimer: NodeJS.Timeout | null = null;
+
   private readonly server: EntryServer;
 
   private stopping = false;
@@ -62,17 +75,19 @@
       notice: () => configuration.notice(),
       onNotice: (notice, pull) => configuration.hear(notice, pull),
     });
-    const router = new Router({
+    const { policy } = settings;
+    this.router = new Router({
+      clock,
       random: options.random,
       location: { failureDomain: settings.failureDomain, region: settings.region },
-      candidates: settings.policy.candidates,
+      policy,
       serversOf: (pool) => this.directory.serversOf(pool),
     });
     const executor = new StageRunner({
       clock,
       agents: this.agents,
-      router,
-      retries: new RetryBudget(settings.policy.retryBudget),
+      router: this.router,
+      retries: new RetryBudget(policy.retryBudget, INITIAL_RETRIES),
       claims: new ClaimSettler({
         agents: this.agents,
         table: options.table,
@@ -101,6 +116,7 @@
    */
   async start(): Promise<string> {
     this.directory.start();
+    this.probeTimer = setInterval(() => this.maintain(), PROBE_INTERVAL_MS);
     this.address = await this.server.listen();
     return this.address;
   }
@@ -132,6 +148,7 @@
   }
 
   private async dispose(): Promise<void> {
+    if (this.probeTimer) clearInterval(this.probeTimer);
     this.callers.dispose();
     this.directory.dispose();
     await this.agents.close();
@@ -142,6 +159,25 @@
     await this.options.metrics.shutdown();
   }
 
+  /** Asks unreachable agents and forgets those that are not listed any more. */
+  private maintain(): void {
+    const agents = this.directory.allInstances().filter(({ role }) => role === 'agent');
+    this.router.retain(new Set(agents.map(({ id }) => id)));
+    for (const agentId of this.router.unreachableAgents()) {
+      const agent = agents.find(({ id }) => id === agentId);
+      if (agent) this.probe(agent);
+    }
+  }
+
+  private probe(agent: Instance): void {
+    this.agents
+      .status(agent.address, PROBE_ID, PROBE_INTERVAL_MS)
+      .then((status) => {
+        if (status) this.router.readmit(agent.id);
+      })
+      .catch(() => undefined);
+  }
+
   private findNotReadyReasons(): string[] {
     const reasons: string[] = [];
     if (!this.options.configuration.ready) reasons.push('no configuration revision is known');
@@ -160,7 +196,14 @@
         notice: configuration.notice(),
         requestsRunning: this.callers.requestsRunning,
         ready: this.findNotReadyReasons().length === 0,
-        servers: [],
+        servers: this.directory
+          .allInstances()
+          .filter(({ role }) => role === 'agent')
+          .map(({ id, pool, state }) => ({
+            agentId: id,
+            pool: pool ?? '',
+            state: state === 'leaving' ? state : this.router.describe(id),
+          })),
       }),
     };
   }
--- a/src/entry/SentAttempt.ts
+++ b/src/entry/SentAttempt.ts
@@ -1,7 +1,13 @@
 import type { Usage, UsageClass } from '../common/protocol/Usage.js';
-import type { RoutedServer } from '../common/routing/Types.js';
+import type { FailureSignal, RoutedServer } from '../common/routing/Types.js';
 import type { StageServices } from './StageRunner.js';
-import type { AttemptContent, AttemptEnd, AttemptListener, RequestContext } from './Types.js';
+import type {
+  AttemptContent,
+  AttemptEnd,
+  AttemptListener,
+  RequestContext,
+  ResultFrame,
+} from './Types.js';
 
 /** Time for an agent to confirm that it voided or cancelled an attempt. */
 const VOID_TIMEOUT_MS = 300;
@@ -29,8 +35,9 @@
   /** Resolves when following the attempt has ended. */
   readonly end: Promise<AttemptEnd>;
 
-  /** True once a chunk arrived. */
-  streaming = false;
+  private firstChunkAt: number | null = null;
+
+  private readonly startedAt: number;
 
   private readonly stopper = new AbortController();
 
@@ -45,6 +52,7 @@
     private readonly services: StageServices,
     private readonly start: AttemptStart,
   ) {
+    this.startedAt = services.clock.now();
     this.incarnation = services.router.incarnationOf(start.server.agentId);
     this.end = this.follow();
   }
@@ -57,6 +65,11 @@
     return this.start.server;
   }
 
+  /** True once a chunk arrived. */
+  get streaming(): boolean {
+    return this.firstChunkAt !== null;
+  }
+
   get fate(): Fate {
     return this.fateValue;
   }
@@ -99,15 +112,14 @@
   }
 
   private async follow(): Promise<AttemptEnd> {
-    const { router, agents, clock } = this.services;
+    const { router, agents } = this.services;
     const { content, server, context, shared } = this.start;
-    const startedAt = clock.now();
     const signal = AbortSignal.any([this.stopper.signal, context.signal]);
     router.begin(server.agentId);
     const order = { content, address: server.address, deadlineAt: context.deadlineAt, shared };
     const end = await agents.run(order, this.createListener(), signal);
     router.end(server.agentId);
-    this.settle(end, clock.now() - startedAt);
+    this.settle(end);
     return end;
   }
 
@@ -119,7 +131,7 @@
         this.services.router.reportLoad(server.agentId, load, incarnation);
       },
       onChunk: (offset, text) => {
-        this.streaming = true;
+        this.firstChunkAt ??= this.services.clock.now();
         this.start.onChunk(offset, text);
       },
       onRestart: () => context.decide(content.stage, 'restart', 'the agent was restarted'),
@@ -130,22 +142,23 @@
     };
   }
 
-  private settle(end: AttemptEnd, elapsedMs: number): void {
-    const { router } = this.services;
-    const { agentId } = this.server;
+  private settle(end: AttemptEnd): void {
     if (end.kind === 'not-sent') this.fateValue = 'not-run';
     if (end.kind === 'refused' && this.isFirstIncarnation(end.frame.incarnation)) {
       this.fateValue = 'not-run';
     }
-    if (end.kind === 'not-sent' || end.kind === 'lost') router.reportFailure(agentId);
+    if (end.kind === 'not-sent' || end.kind === 'lost') this.reportFailure('unreachable');
+    if (end.kind === 'refused' && end.frame.reason === 'backend-unavailable') {
+      this.reportFailure('failed');
+    }
     if (end.kind === 'failed') {
       this.fateValue = end.frame.outcome === 'ran' ? 'ran' : 'unclear';
-      router.reportFailure(agentId);
+      this.reportFailure('failed');
       this.record(end.frame.usage, end.frame.incarnation, 'overhead');
     }
     if (end.kind === 'result') {
       this.fateValue = 'finished';
-      router.reportResult(this.server, this.start.content, end.frame, elapsedMs);
+      this.reportResult(end.frame);
       // The entry that started a shared attempt records it; a replay was recorded before.
       const isOwn = end.frame.requestId === this.start.content.requestId;
       if (isOwn && !end.frame.replayed)
@@ -153,6 +166,26 @@
     }
   }
 
+  private reportResult(frame: ResultFrame): void {
+    if (frame.replayed) return;
+    const elapsedMs = this.services.clock.now() - this.startedAt;
+    const firstMs = this.firstChunkAt === null ? elapsedMs : this.firstChunkAt - this.startedAt;
+    const serviceMs = Math.max(0, elapsedMs - frame.queueMs);
+    const { router } = this.services;
+    if (router.reportResult(this.server, this.start.content, { serviceMs, firstMs })) {
+      this.noteEjection('it is slower than others of its pool');
+    }
+  }
+
+  private reportFailure(signal: FailureSignal): void {
+    if (this.services.router.reportFailure(this.server, signal)) this.noteEjection(signal);
+  }
+
+  private noteEjection(reason: string): void {
+    const { content, context, server } = this.start;
+    context.decide(content.stage, 'eject', `${server.agentId}: ${reason}`);
+  }
+
   /** A refusal by a later incarnation does not tell what an earlier one did with the attempt. */
   private isFirstIncarnation(incarnation: string): boolean {
     return this.resends === 0 || this.incarnation === incarnation;
--- a/src/entry/StageRun.ts
+++ b/src/entry/StageRun.ts
@@ -2,7 +2,7 @@
 import type { Claim } from '../common/protocol/Claim.js';
 import type { Outcome } from '../common/protocol/CallerError.js';
 import { NO_USAGE } from '../common/protocol/Usage.js';
-import type { RoutedServer } from '../common/routing/Types.js';
+import type { RoutedServer, RouteRequest } from '../common/routing/Types.js';
 import { createAttemptId, deriveAttemptId } from './AttemptId.js';
 import { actionAfter, type RefusalAction } from './RefusalActions.js';
 import { SentAttempt } from './SentAttempt.js';
@@ -23,6 +23,9 @@
 /** Pause before servers that were tried are tried again, in ms; doubled each time. */
 const RETRY_PAUSE_MS = 50;
 
+/** Characters of the prompt that select the engine; a block of a typical prefix cache is about as long. */
+const AFFINITY_PREFIX_LENGTH = 256;
+
 /** Suggested to callers that are refused for want of servers. */
 const RETRY_AFTER_MS = 1000;
 
@@ -81,8 +84,7 @@
     const { context, stage } = this.task;
     const server = this.services.router.choose({
       pool: stage.pool,
-      key: context.idempotencyKey ?? context.requestId,
-      sticky: context.idempotencyKey !== undefined,
+      ...placementOf(this.task),
       exclude: this.tried,
     });
     if (server) context.decide(stage.name, 'route', `to ${server.agentId}`);
@@ -335,3 +337,22 @@
     return this.task.stage.idempotent || finished ? 'ran' : 'unknown';
   }
 }
+
+/**
+ * Requests with a key go to the key's first candidate, so that a caller's retry joins them there;
+ * prompts with the same start go to one engine, which has that start in its cache.
+ */
+function placementOf({
+  context,
+  stage,
+  input,
+}: StageTask): Pick<RouteRequest, 'key' | 'placement'> {
+  if (context.idempotencyKey !== undefined) {
+    return { key: `${context.account.id}/${context.idempotencyKey}`, placement: 'sticky' };
+  }
+  if (stage.kind === 'generate' && typeof input.prompt === 'string') {
+    const prefix = input.prompt.slice(0, AFFINITY_PREFIX_LENGTH);
+    return { key: `${stage.model ?? ''}/${prefix}`, placement: 'affinity' };
+  }
+  return { key: context.requestId, placement: 'spread' };
+}
