Refuse infeasible requests at admission and hedge slow stages

A request is refused as not run if the learned times and the reported queueing times of its stages add up to more than its deadline. Idempotent stages get a second attempt after the 0.95-quantile of the time to the first chunk or result, within the hedge budget and only on a server with a free slot; whichever gives a chunk or a result first is followed, the other is cancelled and acknowledged as lost.

--- a/src/common/routing/Router.ts
+++ b/src/common/routing/Router.ts
@@ -128,6 +128,12 @@
     return this.states.get(agentId)?.incarnation ?? null;
   }
 
+  /** @returns true if a further attempt would probably not wait. */
+  hasFreeSlot(agentId: string): boolean {
+    const state = this.stateOf(agentId);
+    return state.occupancy(this.options.clock.now()) + 1 / state.slots <= 1;
+  }
+
   /** @returns shortest expected queueing time in a pool, in ms; 0 if nothing is known. */
   expectedWaitMs(pool: string): number {
     const now = this.options.clock.now();
--- a/src/entry/CallerApi.ts
+++ b/src/entry/CallerApi.ts
@@ -1,6 +1,8 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { start, stop, type ActorSystemRef } from 'nact';
 import { MAX_REQUEST_BYTES } from '../common/protocol/CallerRequest.js';
+import type { PipelinePlan } from '../common/pipeline/PipelinePlan.js';
+import type { Forecast } from '../common/routing/Feasibility.js';
 import type { Clock } from '../common/time/Types.js';
 import type { ConfigurationSource } from '../follower/Types.js';
 import { authenticate, checkRequest, refuse, type CheckedRequest } from './Admission.js';
@@ -18,6 +20,8 @@
   readonly clock: Clock;
   readonly configuration: ConfigurationSource;
   readonly executor: StageExecutor;
+  /** @returns expected time of a plan, for refusing requests that can't finish in time. */
+  readonly forecast: (plan: PipelinePlan) => Forecast;
 }
 
 /** The interface of callers: `POST /v1/pipelines/{template}/requests`. */
@@ -88,10 +92,24 @@
     const snapshot = configuration.snapshot();
     const checked = checkRequest(account.value, template, request.headers, body.text, snapshot);
     if (!checked.ok) return checked.failure;
+    const infeasible = this.checkFeasible(checked.value);
+    if (infeasible) return infeasible;
     await this.execute(checked.value, answer, arrivedAt, snapshot.revision);
     return null;
   }
 
+  private checkFeasible({ plan, deadlineMs }: CheckedRequest): Failure | null {
+    const { expectedMs, waitMs } = this.options.forecast(plan);
+    if (expectedMs <= deadlineMs) return null;
+    return {
+      kind: 'infeasible',
+      outcome: 'not-run',
+      message: `expected to take ${Math.round(expectedMs)} ms of ${deadlineMs} ms allowed`,
+      // Once the queues are empty it may be feasible; without queues only a longer deadline helps.
+      ...(waitMs > 0 ? { retryAfterMs: Math.ceil(waitMs) } : {}),
+    };
+  }
+
   private async execute(
     checked: CheckedRequest,
     answer: CallerResponse,
--- a/src/entry/Entry.ts
+++ b/src/entry/Entry.ts
@@ -1,6 +1,7 @@
 import type { Clock, RandomSource } from '../common/time/Types.js';
 import type { Instance } from '../common/protocol/Membership.js';
 import type { EntryControl } from '../common/protocol/Control.js';
+import { forecastStages } from '../common/routing/Feasibility.js';
 import { RetryBudget } from '../common/routing/RetryBudget.js';
 import { Router } from '../common/routing/Router.js';
 import type { ConfigurationSource } from '../follower/Types.js';
@@ -88,6 +89,7 @@
       agents: this.agents,
       router: this.router,
       retries: new RetryBudget(policy.retryBudget, INITIAL_RETRIES),
+      hedges: policy.hedging ? new RetryBudget(policy.hedgeBudget, 0) : null,
       claims: new ClaimSettler({
         agents: this.agents,
         table: options.table,
@@ -96,7 +98,15 @@
       schemas: new SchemaChecks(),
       ledger: options.ledger,
     });
-    this.callers = new CallerApi({ entryId: settings.id, clock, configuration, executor });
+    this.callers = new CallerApi({
+      entryId: settings.id,
+      clock,
+      configuration,
+      executor,
+      forecast: policy.feasibility
+        ? ({ template, stages }) => forecastStages(this.router, template, stages)
+        : () => ({ expectedMs: 0, waitMs: 0 }),
+    });
     const control = this.createControl();
     this.server = new EntryServer({
       address: settings.address,
--- /dev/null
+++ b/src/entry/Policy.test.ts
@@ -0,0 +1,91 @@
+import assert from 'node:assert/strict';
+import { afterEach, test } from 'node:test';
+import { FakeAgent, type Behaviour } from './testing/FakeAgent.js';
+import { errorOf, post, startEntry, type TestEntryOptions } from './testing/fixtures.js';
+
+const PLAIN = {
+  name: 'plain',
+  stages: [
+    {
+      name: 'find',
+      kind: 'call',
+      pool: 'pool',
+      operation: 'find',
+      input: { body: '$request.text' },
+    },
+  ],
+};
+const QUICK: Behaviour = { kind: 'run', output: { found: 1 }, delayMs: 5 };
+const INPUT = { text: 'x' };
+
+const cleanUps: (() => Promise<void>)[] = [];
+afterEach(async () => {
+  for (const cleanUp of cleanUps.splice(0).reverse()) await cleanUp();
+});
+
+/** Two agents and an entry that has learned the usual time of the stage. */
+const startWarm = async (policy: TestEntryOptions['policy'], deadlineMs = 5000) => {
+  const agents = ['a', 'b'].map((id) => new FakeAgent(id, () => QUICK));
+  for (const agent of agents) {
+    await agent.listen();
+    cleanUps.push(() => agent.close());
+  }
+  const started = await startEntry({ agents, templates: [PLAIN], policy, deadlineMs });
+  cleanUps.push(() => started.stop());
+  const send = () => post(started.url, 'plain', INPUT);
+  await Promise.all(Array.from({ length: 24 }, send));
+  // Quantiles are computed again after a while.
+  await new Promise((resolve) => {
+    setTimeout(resolve, 300);
+  });
+  await send();
+  return { agents, send };
+};
+
+/** Makes whichever agent gets the next attempt slow. */
+const slowNext = (agents: readonly FakeAgent[], delayMs: number) => {
+  let isFirst = true;
+  const behave = (): Behaviour => {
+    const behaviour = isFirst ? { ...QUICK, delayMs } : QUICK;
+    isFirst = false;
+    return behaviour;
+  };
+  agents.forEach((agent) => Object.assign(agent, { behave }));
+};
+
+test('a slow idempotent stage is hedged and the loser cancelled', async () => {
+  const { agents, send } = await startWarm({ hedging: true, hedgeBudget: 1 });
+  slowNext(agents, 2000);
+  const startedAt = performance.now();
+  assert.equal((await send()).status, 200);
+  assert.ok(performance.now() - startedAt < 1500);
+  await new Promise((resolve) => {
+    setTimeout(resolve, 50);
+  });
+  assert.equal(agents[0]!.cancelled.length + agents[1]!.cancelled.length, 1);
+});
+
+test('without budget or with hedging off, a slow stage is waited for', async () => {
+  for (const policy of [{ hedging: false }, { hedgeBudget: 0 }]) {
+    const { agents, send } = await startWarm(policy);
+    slowNext(agents, 150);
+    const before = agents[0]!.runs.length + agents[1]!.runs.length;
+    assert.equal((await send()).status, 200);
+    assert.equal(agents[0]!.runs.length + agents[1]!.runs.length, before + 1);
+  }
+});
+
+test('a request that can not finish in time is refused at admission, unless that is off', async () => {
+  for (const feasibility of [true, false]) {
+    const { agents, send } = await startWarm({ feasibility }, 500);
+    for (const agent of agents) agent.waitMs = 3000;
+    await Promise.all(Array.from({ length: 8 }, send));
+    const received = agents[0]!.received.length + agents[1]!.received.length;
+    const { status, body } = await send();
+    assert.equal(status, feasibility ? 503 : 200);
+    if (feasibility) {
+      assert.deepEqual([errorOf(body).kind, errorOf(body).outcome], ['infeasible', 'not-run']);
+      assert.equal(agents[0]!.received.length + agents[1]!.received.length, received);
+    }
+  }
+});
--- a/src/entry/SentAttempt.ts
+++ b/src/entry/SentAttempt.ts
@@ -35,6 +35,11 @@
   /** Resolves when following the attempt has ended. */
   readonly end: Promise<AttemptEnd>;
 
+  /** Resolves when the first chunk arrives; never if there are no chunks. */
+  readonly firstChunk: Promise<void>;
+
+  private resolveFirstChunk: () => void = () => undefined;
+
   private firstChunkAt: number | null = null;
 
   private readonly startedAt: number;
@@ -52,6 +57,9 @@
     private readonly services: StageServices,
     private readonly start: AttemptStart,
   ) {
+    this.firstChunk = new Promise((resolve) => {
+      this.resolveFirstChunk = resolve;
+    });
     this.startedAt = services.clock.now();
     this.incarnation = services.router.incarnationOf(start.server.agentId);
     this.end = this.follow();
@@ -131,7 +139,10 @@
         this.services.router.reportLoad(server.agentId, load, incarnation);
       },
       onChunk: (offset, text) => {
-        this.firstChunkAt ??= this.services.clock.now();
+        if (this.firstChunkAt === null) {
+          this.firstChunkAt = this.services.clock.now();
+          this.resolveFirstChunk();
+        }
         this.start.onChunk(offset, text);
       },
       onRestart: () => context.decide(content.stage, 'restart', 'the agent was restarted'),
--- a/src/entry/StageRun.ts
+++ b/src/entry/StageRun.ts
@@ -5,6 +5,7 @@
 import type { RoutedServer, RouteRequest } from '../common/routing/Types.js';
 import { createAttemptId, deriveAttemptId } from './AttemptId.js';
 import { actionAfter, type RefusalAction } from './RefusalActions.js';
+import { raceWithHedge, type EndedAttempt } from './HedgeRace.js';
 import { SentAttempt } from './SentAttempt.js';
 import type { StageServices } from './StageRunner.js';
 import type {
@@ -74,7 +75,8 @@
         continue;
       }
       const attempt = this.send(server);
-      const step = await this.conclude(attempt, await attempt.end);
+      const ended = await this.follow(attempt);
+      const step = await this.conclude(ended.attempt, ended.end);
       if (step) return step;
     }
     return this.abandon();
@@ -132,6 +134,23 @@
     return attempt;
   }
 
+  /** Hedges idempotent stages; only budgeted, and only to a server that has a free slot. */
+  private follow(attempt: SentAttempt): Promise<EndedAttempt> {
+    const { context, stage } = this.task;
+    const { router, hedges } = this.services;
+    const expected = router.times.expect({ template: context.template, stage: stage.name });
+    if (!stage.idempotent || !hedges || !expected) {
+      return attempt.end.then((end) => ({ attempt, end }));
+    }
+    hedges.earn();
+    return raceWithHedge(attempt, expected.highFirstMs, () => {
+      const server = this.route();
+      if (!server || !router.hasFreeSlot(server.agentId) || !hedges.trySpend()) return null;
+      context.decide(stage.name, 'hedge', `no answer after ${expected.highFirstMs} ms`);
+      return this.send(server);
+    });
+  }
+
   private nextAttemptId(): string {
     const { account, idempotencyKey } = this.task.context;
     if (idempotencyKey === undefined || this.randomIds) return createAttemptId();
--- a/src/entry/StageRunner.ts
+++ b/src/entry/StageRunner.ts
@@ -12,6 +12,8 @@
   readonly agents: AgentCalls;
   readonly router: Router;
   readonly retries: RetryBudget;
+  /** Null if hedging is switched off. */
+  readonly hedges: RetryBudget | null;
   readonly claims: ClaimSettler;
   readonly schemas: SchemaChecks;
   readonly ledger: UsageRecorder;
