Test the gate's order, feasibility, drain and metering

The feasibility check used the median service time, which refuses attempts of which half would still finish in time. It now uses the time that 10 in 100 of the newest results stay below; queue waits still use the median.

Attempt fixtures move below src/common, so that tests of common code do not import the agent.

--- a/src/agent/ClaimProtocol.test.ts
+++ b/src/agent/ClaimProtocol.test.ts
@@ -2,6 +2,7 @@
 import { test } from 'node:test';
 import fc from 'fast-check';
 import { sha256 } from '../common/Digest.js';
+import { createAttempt } from '../common/gate/testing/AttemptFixture.js';
 import type { AttemptStream } from '../common/gate/AttemptStream.js';
 import type { RunEnd } from '../common/gate/Types.js';
 import type { Attempt } from '../common/protocol/Attempt.js';
@@ -9,7 +10,6 @@
 import { NO_USAGE } from '../common/protocol/Usage.js';
 import { FakeTableStore, type TableFault } from '../platform/testing/FakeTableStore.js';
 import type { PlatformResult, Row, TableStore } from '../platform/Types.js';
-import { createAttempt } from './testing/AgentFixture.js';
 import { SimulatedAgent, type SimulatedWorld } from './testing/SimulatedAgent.js';
 import { StepScheduler } from './testing/StepScheduler.js';
 
--- a/src/agent/testing/AgentFixture.ts
+++ b/src/agent/testing/AgentFixture.ts
@@ -11,35 +11,6 @@
 
 export const TEST_TOKEN = 'test-internal-token';
 
-let attempts = 0;
-
-/**
- * @param fields - fields that differ from an idempotent call
- * @returns attempt with a new id
- */
-export function createAttempt(fields: Partial<Attempt> = {}): Attempt {
-  attempts += 1;
-  return {
-    attemptId: `attempt-${attempts}`,
-    requestId: `request-${attempts}`,
-    account: 'account',
-    template: 'template',
-    stage: 'stage',
-    kind: 'call',
-    operation: 'deposits',
-    input: { body: { amount: 1 } },
-    remainingMs: 3000,
-    idempotent: true,
-    weight: 1,
-    priority: 5,
-    hedge: false,
-    resumeFrom: 0,
-    pinnedRevision: 0,
-    notice: { revision: 0, confirmedAgeMs: null },
-    ...fields,
-  };
-}
-
 /** Running stand-ins by name. */
 export interface Standins {
   /** @returns base URL of a service */
--- /dev/null
+++ b/src/common/gate/Gate.test.ts
@@ -0,0 +1,219 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import fc from 'fast-check';
+import type { Attempt } from '../protocol/Attempt.js';
+import { NO_USAGE } from '../protocol/Usage.js';
+import { Gate } from './Gate.js';
+import { createAttempt } from './testing/AttemptFixture.js';
+import type { GateEntry } from './GateEntry.js';
+import type { GateEffect, RunEnd } from './Types.js';
+
+const DONE: RunEnd = { kind: 'done', output: '{}', usage: { ...NO_USAGE, calls: 1 } };
+
+function createFixture(slots = 1, maxWaiting = 100) {
+  const clock = { time: 0, now: () => clock.time, wallTime: () => clock.time };
+  const gate = new Gate({ slots, maxWaiting, retentionMs: 60_000 }, clock);
+  const effects: GateEffect[] = [];
+  const take = () => {
+    const taken = gate.takeEffects();
+    effects.push(...taken);
+    return taken;
+  };
+  const entriesOf = (kind: GateEffect['kind']) =>
+    take().flatMap((effect) => (effect.kind === kind ? [effect.entry] : []));
+  const submit = (fields: Partial<Attempt> = {}, stale = false) => {
+    const attempt = createAttempt(fields);
+    return { attempt, stream: gate.submit(attempt, 'digest', stale) };
+  };
+  /** Runs what starts, one after another, and gives the attempts in the order of their start. */
+  const drainQueue = (serviceMs: number) => {
+    const order: GateEntry[] = [];
+    for (let [entry] = entriesOf('run'); entry; [entry] = entriesOf('run')) {
+      order.push(entry);
+      clock.time += serviceMs;
+      gate.runEnded(entry, DONE);
+    }
+    return order;
+  };
+  return { clock, gate, take, entriesOf, submit, drainQueue, effects };
+}
+
+function reasonOf(stream: { outcome: unknown }): string | undefined {
+  return (stream.outcome as { reason?: string } | null)?.reason;
+}
+
+test('accounts get runs in proportion to their weights (one account must not starve others)', () => {
+  const { submit, drainQueue } = createFixture();
+  submit({ account: 'first', remainingMs: 1e6 });
+  for (let n = 0; n < 30; n += 1) submit({ account: 'heavy', weight: 2, remainingMs: 1e6 });
+  for (let n = 0; n < 30; n += 1) submit({ account: 'light', weight: 1, remainingMs: 1e6 });
+  const order = drainQueue(10).slice(1, 31);
+  const heavy = order.filter((entry) => entry.attempt.account === 'heavy').length;
+  assert.ok(Math.abs(heavy - 20) <= 1, `${heavy} of 30 runs`);
+});
+
+test('an account that was idle gets no credit for the past', () => {
+  const { submit, drainQueue } = createFixture();
+  for (let n = 0; n < 50; n += 1) submit({ account: 'busy', remainingMs: 1e6 });
+  drainQueue(10);
+  submit({ account: 'first', remainingMs: 1e6 });
+  for (let n = 0; n < 20; n += 1) submit({ account: 'busy', remainingMs: 1e6 });
+  for (let n = 0; n < 20; n += 1) submit({ account: 'idle', remainingMs: 1e6 });
+  const order = drainQueue(10).slice(1, 21);
+  const idle = order.filter((entry) => entry.attempt.account === 'idle').length;
+  assert.ok(Math.abs(idle - 10) <= 1, `${idle} of 20 runs`);
+});
+
+test('within an account the earliest deadline goes first', () => {
+  fc.assert(
+    fc.property(fc.array(fc.integer({ min: 5000, max: 9000 }), { maxLength: 20 }), (times) => {
+      const { submit, drainQueue } = createFixture();
+      submit();
+      times.forEach((remainingMs) => submit({ remainingMs }));
+      const deadlines = drainQueue(0)
+        .map((entry) => entry.deadline)
+        .slice(1);
+      assert.deepEqual(
+        deadlines,
+        [...deadlines].sort((left, right) => left - right),
+      );
+    }),
+    { seed: 1 },
+  );
+});
+
+test('an attempt that cannot finish in time is refused at arrival and before hand-off', () => {
+  const { submit, drainQueue, clock, gate, entriesOf } = createFixture();
+  submit();
+  drainQueue(100);
+  assert.equal(reasonOf(submit({ remainingMs: 90 }).stream), 'infeasible');
+  submit();
+  const waiting = submit({ remainingMs: 250 });
+  const late = submit({ remainingMs: 250 });
+  assert.equal(waiting.stream.outcome, null);
+  assert.equal(reasonOf(late.stream), 'infeasible', 'the queue is too long');
+  const [running] = entriesOf('run');
+  clock.time += 160;
+  gate.runEnded(running!, DONE);
+  assert.equal(reasonOf(waiting.stream), 'infeasible');
+  assert.deepEqual(entriesOf('run'), []);
+});
+
+test('an estimate from a slow period is dropped (it must not refuse all attempts for good)', () => {
+  const { submit, drainQueue, clock } = createFixture();
+  submit({ remainingMs: 1e6 });
+  drainQueue(9000);
+  assert.equal(reasonOf(submit().stream), 'infeasible');
+  clock.time += 5001;
+  assert.equal(submit().stream.outcome, null);
+});
+
+test('attempts beyond the bound of the queue and from stale entries are refused', () => {
+  const { submit } = createFixture(1, 1);
+  submit();
+  submit();
+  assert.equal(reasonOf(submit().stream), 'queue-full');
+  assert.equal(reasonOf(submit({}, true).stream), 'stale-revision');
+});
+
+test('a drain refuses what waits or claims, and a claim got afterwards is given up', () => {
+  const { submit, gate, entriesOf, take } = createFixture(2);
+  const claiming = submit({ idempotent: false, idempotencyKey: 'key' });
+  const running = submit();
+  const waiting = submit();
+  const [claim] = take().flatMap((effect) => (effect.kind === 'claim' ? [effect.entry] : []));
+  gate.drain();
+  assert.equal(reasonOf(claiming.stream), 'draining');
+  assert.equal(reasonOf(waiting.stream), 'draining');
+  assert.equal(reasonOf(submit().stream), 'draining');
+  assert.equal(running.stream.outcome, null);
+  gate.claimEnded(claim!, { kind: 'acquired' });
+  assert.deepEqual(
+    take().flatMap((effect) => (effect.kind === 'settle-claim' ? [effect.target] : [])),
+    ['void'],
+  );
+  gate.resume();
+  submit();
+  assert.equal(entriesOf('run').length, 1);
+});
+
+test('a claim that takes long leaves its slot to idempotent work (a slow store must not block it)', () => {
+  const { submit, gate, clock, entriesOf } = createFixture(1);
+  submit({ idempotent: false, idempotencyKey: 'key' });
+  submit();
+  assert.equal(entriesOf('run').length, 0);
+  clock.time += 60;
+  gate.checkDeadlines();
+  assert.equal(entriesOf('run').length, 1);
+});
+
+test('a claim that comes after the deadline is given up without a run (the process was paused)', () => {
+  const { submit, gate, clock, take } = createFixture(1);
+  const { stream } = submit({ idempotent: false, idempotencyKey: 'key', remainingMs: 1000 });
+  const [claim] = take();
+  clock.time += 1001;
+  gate.claimEnded(claim!.entry, { kind: 'acquired' });
+  assert.equal(reasonOf(stream), 'infeasible');
+  const kinds = take().map((effect) => effect.kind);
+  assert.ok(kinds.includes('settle-claim') && !kinds.includes('run'));
+});
+
+test('usage is counted once, as useful only if a result was used', () => {
+  const cases: [string, (gate: Gate, entry: GateEntry) => void][] = [
+    ['useful', (gate, entry) => gate.runEnded(entry, DONE)],
+    ['overhead', (gate, entry) => gate.runEnded(entry, { ...DONE, kind: 'failed', message: '' })],
+    ['overhead', (gate, entry) => gate.runEnded(entry, { ...DONE, kind: 'lost', message: '' })],
+    ['overhead', (gate, entry) => gate.runEnded(entry, { kind: 'unreachable', message: '' })],
+  ];
+  for (const [expected, end] of cases) {
+    const { submit, gate, take, effects, entriesOf } = createFixture();
+    const { attempt } = submit();
+    end(gate, entriesOf('run')[0]!);
+    const acknowledgement = { attemptId: attempt.attemptId, won: true };
+    gate.acknowledge(acknowledgement);
+    gate.acknowledge(acknowledgement);
+    gate.expireRetained();
+    take();
+    const classes = effects.flatMap((effect) => (effect.kind === 'meter' ? effect.usageClass : []));
+    assert.deepEqual(classes, [expected]);
+  }
+});
+
+test('a result that nobody takes is dropped after the retention time and counted as overhead', () => {
+  const { submit, gate, clock, take, entriesOf } = createFixture();
+  const { attempt } = submit();
+  gate.runEnded(entriesOf('run')[0]!, DONE);
+  clock.time += 60_001;
+  take();
+  gate.expireRetained();
+  assert.deepEqual(
+    take().map((effect) => (effect.kind === 'meter' ? effect.usageClass : effect.kind)),
+    ['overhead'],
+  );
+  assert.equal(gate.size, 0);
+  const again = gate.submit(attempt, 'digest', false);
+  assert.equal(again.outcome?.type, 'failed', 'a late copy starts no second run');
+});
+
+test('another input under a known attempt id is refused (results must not be mixed up)', () => {
+  const { submit, gate } = createFixture();
+  const { attempt } = submit();
+  assert.equal(reasonOf(gate.submit(attempt, 'other', false)), 'attempt-mismatch');
+  assert.equal(
+    reasonOf(gate.submit({ ...attempt, account: 'other' }, 'digest', false)),
+    'attempt-mismatch',
+  );
+});
+
+test('a cancelled run is stopped; a non-idempotent one goes on', () => {
+  const { submit, gate, take } = createFixture(2);
+  const idempotent = submit();
+  const claimed = submit({ idempotent: false, idempotencyKey: 'key' });
+  const claim = take().find((effect) => effect.kind === 'claim');
+  gate.claimEnded(claim!.entry, { kind: 'acquired' });
+  take();
+  assert.equal(gate.cancel(idempotent.attempt.attemptId), 'running');
+  assert.equal(gate.cancel(claimed.attempt.attemptId), 'running');
+  const aborted = take().map((effect) => [effect.kind, effect.entry.id]);
+  assert.deepEqual(aborted, [['abort', idempotent.attempt.attemptId]]);
+});
--- a/src/common/gate/Gate.ts
+++ b/src/common/gate/Gate.ts
@@ -317,7 +317,7 @@
   }
 
   private isFeasible(entry: GateEntry, waitMs = 0): boolean {
-    return this.clock.now() + waitMs + entry.expectedMs < entry.deadline;
+    return this.clock.now() + waitMs + this.schedule.fastMs(entry.attempt) < entry.deadline;
   }
 
   /** Starts attempts while there are free slots. */
--- a/src/common/gate/Schedule.ts
+++ b/src/common/gate/Schedule.ts
@@ -63,6 +63,14 @@
     return this.serviceTimes.expectedMs(workKey(attempt));
   }
 
+  /**
+   * @param attempt - attempt of some kind of work
+   * @returns shortest time in milliseconds in which it may be done, 0 if nothing is known
+   */
+  fastMs(attempt: Attempt): number {
+    return this.serviceTimes.fastMs(workKey(attempt));
+  }
+
   /** @param entry - attempt that starts to wait */
   enqueue(entry: GateEntry): void {
     this.queue.add(entry);
