Tell connect errors by system call and bill failed runs as the server counts them

Cause: EHOSTUNREACH and ENETUNREACH on an established connection were taken as 'no byte sent', so a non-idempotent call could have been run again. Found by reading. Failed runs were billed by wall time, also for an error status that did no work, and a cancelled completion ran on in the engine until its grace time ended, unbilled. Ruled out: dropping these codes; a refused route at connect is common and certain. Now the system call decides, and cancelled or lost completions are cancelled with DELETE, which tells their usage.

--- a/src/agent/backend/BackendClient.ts
+++ b/src/agent/backend/BackendClient.ts
@@ -1,33 +1,32 @@
 import { Pool, type Dispatcher } from 'undici';
+import type { Attempt } from '../../common/protocol/Attempt.js';
 import {
   ATTEMPT_ID_HEADER,
   CLIENT_ACCOUNT_HEADER,
   IDEMPOTENCY_KEY_HEADER,
+  CompletionCancelled,
   REQUEST_ID_HEADER,
 } from '../../common/protocol/Backend.js';
-import type { Attempt } from '../../common/protocol/Attempt.js';
+import type { Usage } from '../../common/protocol/Usage.js';
+import { usageOf } from './ReportedUsage.js';
 
 /** Time within which a connection to the backend server has to stand; it is one process away. */
 const CONNECT_TIMEOUT_MS = 1000;
 
-/** Error codes after which certainly no byte of the call was sent. */
-const UNREACHABLE_CODES: ReadonlySet<unknown> = new Set([
-  'ECONNREFUSED',
-  'EHOSTUNREACH',
-  'ENETUNREACH',
-  'ENOTFOUND',
-  'EAI_AGAIN',
-  'UND_ERR_CONNECT_TIMEOUT',
-]);
+/** Time for the engine to confirm that a completion was cancelled. */
+const CANCEL_TIMEOUT_MS = 500;
+
+/** System calls that fail before any byte of the call was sent. */
+const CONNECTING_CALLS: ReadonlySet<unknown> = new Set(['connect', 'getaddrinfo']);
 
 /** Errors of the backend layer. */
 export type BackendError =
   /** No byte of the call was sent. */
   | { readonly kind: 'unreachable'; readonly message: string }
-  /** The call may have been carried out; no complete answer came. */
-  | { readonly kind: 'lost'; readonly message: string }
-  /** The signal stopped the call. */
-  | { readonly kind: 'aborted'; readonly message: string }
+  /** The call may have been carried out; no complete answer came. `usage` if the server told it. */
+  | { readonly kind: 'lost'; readonly message: string; readonly usage?: Partial<Usage> }
+  /** The signal stopped the call. `usage` if the server told it. */
+  | { readonly kind: 'aborted'; readonly message: string; readonly usage?: Partial<Usage> }
   /** Answer with an error status. */
   | { readonly kind: 'status'; readonly status: number; readonly message: string }
   /** The answer does not follow the protocol. */
@@ -124,6 +123,26 @@
     }
   }
 
+  /**
+   * Cancels a completion at once; without it the engine goes on until its grace time for resuming ends.
+   * @param attempt - attempt of kind `generate`
+   * @returns usage up to now, or null if the engine does not tell it
+   */
+  async cancelCompletion(attempt: Attempt): Promise<Partial<Usage> | null> {
+    try {
+      const response = await this.freshPool.request({
+        method: 'DELETE',
+        path: `${this.pathPrefix}/v1/completions/${encodeURIComponent(attempt.attemptId)}`,
+        signal: AbortSignal.timeout(CANCEL_TIMEOUT_MS),
+        reset: true,
+      });
+      const answer = CompletionCancelled.safeParse(await response.body.json());
+      return answer.success ? usageOf(answer.data.usage) : null;
+    } catch {
+      return null;
+    }
+  }
+
   /** Closes all connections. */
   async close(): Promise<void> {
     await Promise.all([this.pool.destroy(), this.freshPool.destroy()]);
@@ -137,12 +156,19 @@
  */
 export function classify(error: unknown, signal: AbortSignal): BackendError {
   const message = error instanceof Error ? error.message : String(error);
-  const { code } = error as { code?: unknown };
-  if (UNREACHABLE_CODES.has(code)) return { kind: 'unreachable', message: `${code}` };
+  // The code alone does not tell: an established connection can also end with EHOSTUNREACH.
+  if (isConnectError(error)) return { kind: 'unreachable', message };
   if (signal.aborted) return { kind: 'aborted', message: String(signal.reason) };
   return { kind: 'lost', message };
 }
 
+/** Node.js gives one error per address tried if a host name has several. */
+function isConnectError(error: unknown): boolean {
+  if (error instanceof AggregateError) return error.errors.every(isConnectError);
+  const { code, syscall } = error as { code?: unknown; syscall?: unknown };
+  return CONNECTING_CALLS.has(syscall) || code === 'UND_ERR_CONNECT_TIMEOUT';
+}
+
 function headersOf(attempt: Attempt): Record<string, string> {
   const headers: Record<string, string> = {
     'content-type': 'application/json',
--- a/src/agent/backend/GenerateHandler.ts
+++ b/src/agent/backend/GenerateHandler.ts
@@ -30,6 +30,16 @@
 export async function generate(
   call: BackendCall,
   client: BackendClient,
+): Promise<BackendResult<StageOutput>> {
+  const result = await readToEnd(call, client);
+  if (result.ok || (result.error.kind !== 'lost' && result.error.kind !== 'aborted')) return result;
+  const usage = await client.cancelCompletion(call.attempt);
+  return usage ? { ok: false, error: { ...result.error, usage } } : result;
+}
+
+async function readToEnd(
+  call: BackendCall,
+  client: BackendClient,
 ): Promise<BackendResult<StageOutput>> {
   const text: string[] = [];
   let part: Part = { ok: true, value: null };
--- a/src/agent/backend/HttpBackend.ts
+++ b/src/agent/backend/HttpBackend.ts
@@ -27,8 +27,9 @@
     const startedAt = this.clock.now();
     const result = await this.handle(call);
     const busyMs = this.clock.now() - startedAt;
-    if (!result.ok)
-      return endOfError(result.error, call, { ...oneCall(call), acceleratorMs: busyMs });
+    if (!result.ok) {
+      return endOfError(result.error, call, usageOfError(result.error, call, busyMs));
+    }
     const { output, usage } = result.value;
     return {
       kind: 'done',
@@ -52,8 +53,11 @@
   }
 }
 
-function oneCall(call: BackendCall): Usage {
-  return { acceleratorMs: 0, tokensIn: 0, tokensOut: call.nextOffset(), calls: 1 };
+/** A call answered with an error status is taken as not worked on; else the time it took counts. */
+function usageOfError(error: BackendError, call: BackendCall, busyMs: number): Usage {
+  const acceleratorMs = error.kind === 'status' ? 0 : busyMs;
+  const reported = 'usage' in error ? error.usage : undefined;
+  return { acceleratorMs, tokensIn: 0, tokensOut: call.nextOffset(), calls: 1, ...reported };
 }
 
 /**
