Add orders to model engines under a lease with fencing numbers

The lease counts on the monotonic clock from before each write was sent. For an engine that ignores fencing numbers a successor waits the old holder's time to live plus the order timeout from when it first saw the row's version. The reconciler gives an order anew if the engine's state or its fencing number is not the one wanted, which also corrects a late order of an old holder.

A lost answer is recognized by a write id in the row. Deciding by the holder alone was ruled out: an older write of the same holder that commits late would prolong the lease by too much.

--- a/src/agent/AgentProcess.ts
+++ b/src/agent/AgentProcess.ts
@@ -26,6 +26,7 @@
 import { ClaimWriter } from './claims/ClaimWriter.js';
 import { DrainState } from './DrainState.js';
 import { GateActor } from './GateActor.js';
+import { OrderControl } from './orders/OrderControl.js';
 import type { AgentIdentity } from './Types.js';
 
 /** Interval at which waiting and running attempts are compared with their deadlines. */
@@ -69,6 +70,8 @@
 
   private readonly server: AgentServer;
 
+  private readonly orders: OrderControl | null;
+
   private readonly resources: Disposable[] = [];
 
   private stopping: Promise<void> | null = null;
@@ -110,6 +113,16 @@
       drainState: this.drainState,
       configuration: this.configuration,
     });
+    this.orders = settings.orders
+      ? new OrderControl({
+          settings,
+          orders: settings.orders,
+          identity: this.identity,
+          store,
+          clock,
+          logger: this.logger,
+        })
+      : null;
     this.endpoint = this.createEndpoint();
     this.server = new AgentServer({
       internalToken: settings.internalToken,
@@ -142,6 +155,7 @@
     this.configuration
       .start()
       .catch((error: unknown) => this.logger.error('configuration', { error }));
+    this.orders?.start();
     const { agentId, address, incarnation } = this.identity;
     return { id: agentId, address, incarnation };
   }
@@ -165,6 +179,7 @@
     if (this.gate.size > 0) this.logger.warn('attempts are left', { attempts: this.gate.size });
     this.actor.send({ type: 'meter-unacknowledged' });
     await sleep(SHUTDOWN_POLL_MS);
+    await this.orders?.stop();
     await this.flushLedger(giveUpAt);
     this.resources.forEach((resource) => resource.dispose());
     this.endpoint.dispose();
--- /dev/null
+++ b/src/agent/orders/HttpOrderTarget.ts
@@ -0,0 +1,45 @@
+import { request, type Dispatcher } from 'undici';
+import { OrderState, type Order } from '../../common/protocol/Backend.js';
+import type { OrderTarget } from './Types.js';
+
+const ORDER_PATH = '/v1/orders';
+const STATUS_OK = 200;
+const STATUS_CONFLICT = 409;
+
+/** Model engine over HTTP. */
+export class HttpOrderTarget implements OrderTarget {
+  private readonly url: string;
+
+  /** @param baseUrl - URL of the engine */
+  constructor(baseUrl: string) {
+    this.url = `${baseUrl.replace(/\/$/, '')}${ORDER_PATH}`;
+  }
+
+  async read(timeoutMs: number): Promise<OrderState | null> {
+    const answer = await this.call({ method: 'GET' }, timeoutMs);
+    if (answer?.status !== STATUS_OK) return null;
+    const parsed = OrderState.safeParse(answer.body);
+    return parsed.success ? parsed.data : null;
+  }
+
+  async apply(order: Order, timeoutMs: number): Promise<'applied' | 'rejected' | 'failed'> {
+    const headers = { 'content-type': 'application/json' };
+    const call = { method: 'POST', headers, body: JSON.stringify(order) } as const;
+    const answer = await this.call(call, timeoutMs);
+    if (answer?.status === STATUS_OK) return 'applied';
+    return answer?.status === STATUS_CONFLICT ? 'rejected' : 'failed';
+  }
+
+  private async call(
+    options: Partial<Dispatcher.RequestOptions>,
+    timeoutMs: number,
+  ): Promise<{ status: number; body: unknown } | null> {
+    try {
+      const signal = AbortSignal.timeout(timeoutMs);
+      const response = await request(this.url, { ...options, signal });
+      return { status: response.statusCode, body: await response.body.json() };
+    } catch {
+      return null;
+    }
+  }
+}
--- /dev/null
+++ b/src/agent/orders/OrderControl.ts
@@ -0,0 +1,98 @@
+import type { Disposable } from '../../common/events/Types.js';
+import type { Clock } from '../../common/time/Types.js';
+import type { TableStore } from '../../platform/Types.js';
+import type { Logger } from '../../telemetry/Logger.js';
+import type { AgentSettings } from '../AgentSettings.js';
+import type { AgentIdentity } from '../Types.js';
+import { HttpOrderTarget } from './HttpOrderTarget.js';
+import { OrderLease } from './OrderLease.js';
+import { OrderReconciler } from './OrderReconciler.js';
+
+/** A lease is renewed this often within its time to live, so that two renewals may fail. */
+const RENEWALS_PER_TTL = 3;
+
+/** Parts that {@link OrderControl} uses. */
+export interface OrderControlParts {
+  readonly settings: AgentSettings;
+  readonly orders: NonNullable<AgentSettings['orders']>;
+  readonly identity: AgentIdentity;
+  readonly store: TableStore;
+  readonly clock: Clock;
+  readonly logger: Logger;
+}
+
+/** Keeps the lease of a model engine and its wanted state. */
+export class OrderControl implements Disposable {
+  private readonly lease: OrderLease;
+
+  private readonly reconciler: OrderReconciler;
+
+  private readonly timers: NodeJS.Timeout[] = [];
+
+  private updating: Promise<void> | null = null;
+
+  /** @param parts - settings, store, clock */
+  constructor(private readonly parts: OrderControlParts) {
+    const { settings, orders, identity, store, clock, logger } = parts;
+    const { agentId, incarnation } = identity;
+    const { models, adapters, version, role, orderTimeoutMs } = orders;
+    this.lease = new OrderLease({
+      store,
+      clock,
+      agentId,
+      incarnation,
+      serverId: settings.backend.id,
+      ttlMs: orders.leaseTtlMs,
+      orderTimeoutMs: orders.fencing === 'ignored' ? orderTimeoutMs : 0,
+    });
+    this.reconciler = new OrderReconciler({
+      lease: this.lease,
+      target: new HttpOrderTarget(settings.backend.url),
+      holder: `${agentId}/${incarnation}`,
+      wanted: { models, adapters, version, role },
+      orderTimeoutMs,
+      logger,
+    });
+  }
+
+  /** Starts to keep the lease and the wanted state. */
+  start(): void {
+    const { leaseTtlMs, reconcileIntervalMs } = this.parts.orders;
+    this.timers.push(
+      setInterval(() => this.update(), leaseTtlMs / RENEWALS_PER_TTL),
+      setInterval(() => this.reconcile(), reconcileIntervalMs),
+    );
+    this.update();
+  }
+
+  /** Stops giving orders and gives the lease up, so that a successor need not wait. */
+  async stop(): Promise<void> {
+    this.dispose();
+    await this.updating;
+    // Waits for an order on its way.
+    await this.reconciler.reconcile();
+    await this.lease.release();
+  }
+
+  dispose(): void {
+    this.timers.splice(0).forEach((timer) => clearInterval(timer));
+  }
+
+  private update(): void {
+    if (this.updating) return;
+    const isNew = this.lease.fencing() === null;
+    this.updating = this.lease
+      .update()
+      .then(() => (isNew ? this.reconciler.reconcile() : undefined))
+      .catch((error: unknown) => this.parts.logger.error('lease', { error }))
+      .finally(() => {
+        this.updating = null;
+      });
+  }
+
+  private reconcile(): void {
+    this.reconciler
+      .reconcile()
+      .catch((error: unknown) => this.parts.logger.error('orders', { error }));
+  }
+}
--- /dev/null
+++ b/src/agent/orders/OrderLease.ts
@@ -0,0 +1,145 @@
+import type { Clock } from '../../common/time/Types.js';
+import type { Row, TableStore } from '../../platform/Types.js';
+import { LEASE_TABLE, Lease } from './Lease.js';
+
+/** Bound of one call to the table service. */
+const CALL_TIMEOUT_MS = 1000;
+
+/** Options of {@link OrderLease}. */
+export interface OrderLeaseOptions {
+  readonly store: TableStore;
+  readonly clock: Clock;
+  readonly agentId: string;
+  readonly incarnation: string;
+  /** Backend server that the lease is for. */
+  readonly serverId: string;
+  readonly ttlMs: number;
+  /**
+   * Time after which an order of the old holder can no longer arrive, in milliseconds. 0 if the engine
+   * rejects old fencing numbers.
+   */
+  readonly orderTimeoutMs: number;
+}
+
+/** Version of a foreign lease and when it was seen first. */
+interface Sighting {
+  readonly version: number;
+  readonly seenAt: number;
+}
+
+/**
+ * Lease on giving orders to one backend server. Validity counts on the monotonic clock from the moment
+ * before a write was sent, so it ends here before another agent may take the lease over. That clock
+ * goes on while the process is stopped.
+ */
+export class OrderLease {
+  /** Row as last seen. */
+  private row: Row | null = null;
+
+  private validUntil = Number.NEGATIVE_INFINITY;
+
+  private sighting: Sighting | null = null;
+
+  /** Last write whose answer was lost. */
+  private unanswered: { writeId: string; sentAt: number } | null = null;
+
+  private writes = 0;
+
+  /** @param options - store, clock, holder, times */
+  constructor(private readonly options: OrderLeaseOptions) {}
+
+  /**
+   * Has to be asked immediately before each order.
+   * @returns fencing number, or null if this agent must not give orders now
+   */
+  fencing(): number | null {
+    const lease = this.ownLease();
+    if (!lease || this.options.clock.now() >= this.validUntil) return null;
+    return lease.fencing;
+  }
+
+  /** Renews the lease, or takes it over when the holder's time is over. Never rejects. */
+  async update(): Promise<void> {
+    if (this.ownLease()) {
+      await this.write(this.ownLease()!.fencing);
+      return;
+    }
+    await this.look();
+    const lease = this.row && parseLease(this.row);
+    if (this.ownLease() || !this.row || !this.mayTakeOver(lease)) return;
+    await this.write((lease?.fencing ?? 0) + 1);
+  }
+
+  /** Gives the lease up; no order may be on its way. Never rejects. */
+  async release(): Promise<void> {
+    const lease = this.ownLease();
+    this.validUntil = Number.NEGATIVE_INFINITY;
+    if (lease) await this.write(lease.fencing, true);
+  }
+
+  /** Stops giving orders until the lease is taken over again: the engine has seen a higher number. */
+  forsake(): void {
+    this.validUntil = Number.NEGATIVE_INFINITY;
+    this.row = null;
+  }
+
+  private ownLease(): Lease | null {
+    const lease = this.row && parseLease(this.row);
+    const { agentId, incarnation } = this.options;
+    const isOwn = lease?.agentId === agentId && lease.incarnation === incarnation;
+    return lease && isOwn && !lease.released ? lease : null;
+  }
+
+  private mayTakeOver(lease: Lease | null): boolean {
+    if (!lease || lease.released) return true;
+    const { version } = this.row!;
+    const now = this.options.clock.now();
+    if (this.sighting?.version !== version) this.sighting = { version, seenAt: now };
+    return now - this.sighting.seenAt > lease.ttlMs + this.options.orderTimeoutMs;
+  }
+
+  private async look(): Promise<void> {
+    const address = { table: LEASE_TABLE, key: this.options.serverId };
+    const result = await this.options.store.read([address], { timeoutMs: CALL_TIMEOUT_MS });
+    this.accept(result.ok ? (result.value[0] ?? null) : null);
+  }
+
+  private async write(fencing: number, released = false): Promise<void> {
+    const { store, clock, agentId, incarnation, serverId, ttlMs } = this.options;
+    this.writes += 1;
+    const writeId = `${incarnation}/${this.writes}`;
+    const value: Lease = { agentId, incarnation, fencing, ttlMs, writeId, released };
+    const address = { table: LEASE_TABLE, key: serverId };
+    const sentAt = clock.now();
+    const result = await store.transaction(
+      {
+        checks: [{ ...address, version: this.row?.version ?? 0 }],
+        writes: [{ ...address, value }],
+      },
+      { timeoutMs: CALL_TIMEOUT_MS },
+    );
+    if (result.ok) {
+      this.unanswered = { writeId, sentAt };
+      this.accept({ ...address, value, version: result.value[0]!.version });
+    } else if (result.error.kind === 'conflict') {
+      this.accept(result.error.current);
+    } else if (result.error.kind === 'ambiguous') {
+      this.unanswered = { writeId, sentAt };
+    }
+  }
+
+  /** Takes a row as the current one. It prolongs the lease only if it is a write of this process. */
+  private accept(row: Row | null): void {
+    this.row = row;
+    const lease = this.ownLease();
+    if (lease && this.unanswered?.writeId === lease.writeId) {
+      this.validUntil = Math.max(this.validUntil, this.unanswered.sentAt + lease.ttlMs);
+    }
+    if (!lease) this.validUntil = Number.NEGATIVE_INFINITY;
+  }
+}
+
+function parseLease(row: Row): Lease | null {
+  const parsed = Lease.safeParse(row.value);
+  return parsed.success ? parsed.data : null;
+}
--- /dev/null
+++ b/src/agent/orders/OrderReconciler.ts
@@ -0,0 +1,57 @@
+import { canonicalJson } from '../../common/Digest.js';
+import type { OrderState } from '../../common/protocol/Backend.js';
+import type { Logger } from '../../telemetry/Logger.js';
+import type { OrderLease } from './OrderLease.js';
+import type { OrderTarget, WantedState } from './Types.js';
+
+/** Options of {@link OrderReconciler}. */
+export interface OrderReconcilerOptions {
+  readonly lease: OrderLease;
+  readonly target: OrderTarget;
+  /** Holder named in orders. */
+  readonly holder: string;
+  readonly wanted: WantedState;
+  readonly orderTimeoutMs: number;
+  readonly logger: Logger;
+}
+
+/**
+ * Brings the engine into the wanted state. Repeated at intervals, it corrects the effect of an order
+ * that an old holder sent late.
+ */
+export class OrderReconciler {
+  private running: Promise<void> | null = null;
+
+  /** @param options - lease, engine, wanted state */
+  constructor(private readonly options: OrderReconcilerOptions) {}
+
+  /**
+   * Compares the engine's state with the wanted one and gives an order if they differ. A call during
+   * another one gives the promise of that one.
+   */
+  reconcile(): Promise<void> {
+    this.running ??= this.compareAndApply().finally(() => {
+      this.running = null;
+    });
+    return this.running;
+  }
+
+  private async compareAndApply(): Promise<void> {
+    const { lease, target, orderTimeoutMs, wanted, holder, logger } = this.options;
+    if (lease.fencing() === null) return;
+    const state = await target.read(orderTimeoutMs);
+    // The lease may have ended while the engine was asked.
+    const fencing = lease.fencing();
+    if (state === null || fencing === null || isInForce(state, wanted, fencing)) return;
+    const result = await target.apply({ ...wanted, fencing, holder }, orderTimeoutMs);
+    logger.info('order given', { result, fencing });
+    if (result === 'rejected') lease.forsake();
+  }
+}
+
+/** An order with another fencing number came from another holder, and is given anew. */
+function isInForce({ applied }: OrderState, wanted: WantedState, fencing: number): boolean {
+  if (!applied || applied.fencing !== fencing) return false;
+  const { models, adapters, version, role } = applied;
+  return canonicalJson({ models, adapters, version, role }) === canonicalJson(wanted);
+}
--- a/src/agent/testing/AgentFixture.ts
+++ b/src/agent/testing/AgentFixture.ts
@@ -18,6 +18,8 @@
   faults(name: string, faults: Record<string, unknown>): Promise<void>;
   /** @returns runs of a backend stand-in */
   runs(name: string): Promise<{ attemptId: string; finished: boolean }[]>;
+  /** @returns value of one of the counters of a stand-in */
+  counter(name: string, counter: string): Promise<unknown>;
   close(): Promise<void>;
 }
 
@@ -54,6 +56,11 @@
       const body = (await response.body.json()) as { runs?: [] } | [];
       return Array.isArray(body) ? body : body.runs!;
     },
+    counter: async (name, counter) => {
+      const response = await request(`${url(name)}/control/counters`);
+      const body = (await response.body.json()) as Record<string, unknown>;
+      return body[counter];
+    },
     close: () => host.close(),
   };
 }
@@ -72,13 +79,14 @@
  * @param standins - services that the agent uses
  * @param backend - name of the backend stand-in
  * @param fields - settings that differ
+ * @returns settings as a settings file holds them
  */
-export async function startAgent(
+export function settingsOf(
   standins: Standins,
   backend: string,
   fields: Record<string, unknown> = {},
-): Promise<RunningAgent> {
-  const settings = AgentSettings.parse({
+): Record<string, unknown> {
+  return {
     id: 'agent-1',
     address: '127.0.0.1:0',
     failureDomain: 'a',
@@ -92,7 +100,20 @@
     log: { level: 'error' },
     shutdown: { deadlineMs: 1000 },
     ...fields,
-  });
+  };
+}
+
+/**
+ * @param standins - services that the agent uses
+ * @param backend - name of the backend stand-in
+ * @param fields - settings that differ
+ */
+export async function startAgent(
+  standins: Standins,
+  backend: string,
+  fields: Record<string, unknown> = {},
+): Promise<RunningAgent> {
+  const settings = AgentSettings.parse(settingsOf(standins, backend, fields));
   const process = new AgentProcess(settings);
   const { address, incarnation } = await process.start();
   return {
@@ -122,7 +143,11 @@
     .map((line) => Frame.parse(JSON.parse(line)));
 }
 
-function createControl(address: string) {
+/**
+ * @param address - agent
+ * @returns client of its control calls
+ */
+export function createControl(address: string) {
   return createTRPCClient<AgentRouter>({
     links: [
       httpLink({
--- /dev/null
+++ b/src/agent/testing/ProcessFixture.ts
@@ -0,0 +1,65 @@
+/** Agents as processes of their own, which can be stopped and continued. */
+import { spawn, type ChildProcess } from 'node:child_process';
+import { once } from 'node:events';
+import { mkdtemp, rm, writeFile } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { settingsOf, type Standins } from './AgentFixture.js';
+
+const PROGRAM = new URL('../../bin/citronstage-agent.js', import.meta.url).pathname;
+
+const WAIT_LIMIT_MS = 4000;
+const POLL_MS = 25;
+
+/** Started agents. */
+export interface AgentProcesses {
+  /** Starts an agent and waits until it listens. */
+  spawn(
+    id: string,
+    backend: string,
+    fields?: Record<string, unknown>,
+  ): Promise<{ child: ChildProcess; address: string }>;
+  /** Ends all agents that still run. */
+  close(): Promise<void>;
+}
+
+/** @param standins - services that the agents use */
+export async function createAgentProcesses(standins: Standins): Promise<AgentProcesses> {
+  const directory = await mkdtemp(join(tmpdir(), 'citronstage-agent-'));
+  const children: ChildProcess[] = [];
+  return {
+    spawn: async (id, backend, fields = {}) => {
+      const file = join(directory, `${id}.json`);
+      await writeFile(file, JSON.stringify({ ...settingsOf(standins, backend, fields), id }));
+      const child = spawn(process.execPath, [PROGRAM, '--config', file], {
+        stdio: ['ignore', 'pipe', 'inherit'],
+      });
+      children.push(child);
+      const [line] = (await once(child.stdout, 'data')) as [Buffer];
+      const { address } = JSON.parse(line.toString()) as { address: string };
+      return { child, address };
+    },
+    close: async () => {
+      for (const child of children.filter(({ exitCode }) => exitCode === null)) {
+        const exited = once(child, 'exit');
+        child.kill('SIGKILL');
+        await exited;
+      }
+      await rm(directory, { recursive: true });
+    },
+  };
+}
+
+/**
+ * Waits for a condition.
+ * @param condition - checked at short intervals
+ * @throws Error if it does not hold in time
+ */
+export async function until(condition: () => Promise<boolean>): Promise<void> {
+  const giveUpAt = Date.now() + WAIT_LIMIT_MS;
+  while (!(await condition())) {
+    if (Date.now() >= giveUpAt) throw new Error('the condition does not hold in time');
+    await sleep(POLL_MS);
+  }
+}
