--- a/src/entry/StageRun.ts
+++ b/src/entry/StageRun.ts
@@ -2,9 +2,10 @@
 import type { Claim } from '../common/protocol/Claim.js';
 import type { Outcome } from '../common/protocol/CallerError.js';
 import { NO_USAGE } from '../common/protocol/Usage.js';
-import type { RoutedServer } from '../common/routing/Types.js';
+import type { RoutedServer, RouteRequest } from '../common/routing/Types.js';
 import { createAttemptId, deriveAttemptId } from './AttemptId.js';
-import { REFUSAL_ACTIONS, type RefusalAction } from './RefusalActions.js';
+import { actionAfter, type RefusalAction } from './RefusalActions.js';
+import { raceWithHedge, type EndedAttempt } from './HedgeRace.js';
 import { SentAttempt } from './SentAttempt.js';
 import type { StageServices } from './StageRunner.js';
 import type {
@@ -23,6 +24,9 @@
 /** Pause before servers that were tried are tried again, in ms; doubled each time. */
 const RETRY_PAUSE_MS = 50;
 
+/** Characters of the prompt that select the engine; a block of a typical prefix cache is about as long. */
+const AFFINITY_PREFIX_LENGTH = 256;
+
 /** Suggested to callers that are refused for want of servers. */
 const RETRY_AFTER_MS = 1000;
 
@@ -39,7 +43,11 @@
 
   private replacesClaim: Claim | undefined;
 
-  /** True if derived attempt ids are in use for another input. */
+  private tries = 0;
+
+  private voidedTries = 0;
+
+  /** True if derived attempt ids are in use for another input or were refused. */
   private randomIds = false;
 
   private lastFailure: Omit<Failure, 'outcome'> = {
@@ -60,14 +68,15 @@
     if (problem) return this.fail('bad-request', `input of stage "${stage.name}": ${problem}`);
     this.services.retries.earn();
     while (!context.signal.aborted) {
-      if (this.attempts.length >= MAX_TRIES) return this.failLast();
+      if (this.tries >= MAX_TRIES) return this.failLast();
       const server = this.route();
       if (!server) {
         if (!(await this.pause())) return this.failLast();
         continue;
       }
       const attempt = this.send(server);
-      const step = await this.conclude(attempt, await attempt.end);
+      const ended = await this.follow(attempt);
+      const step = await this.conclude(ended.attempt, ended.end);
       if (step) return step;
     }
     return this.abandon();
@@ -77,8 +86,7 @@
     const { context, stage } = this.task;
     const server = this.services.router.choose({
       pool: stage.pool,
-      key: context.idempotencyKey ?? context.requestId,
-      sticky: context.idempotencyKey !== undefined,
+      ...placementOf(this.task),
       exclude: this.tried,
     });
     if (server) context.decide(stage.name, 'route', `to ${server.agentId}`);
@@ -86,15 +94,23 @@
   }
 
   private send(server: RoutedServer): SentAttempt {
-    const { context, stage, input, onChunk } = this.task;
+    const attemptId = this.nextAttemptId();
     this.tried.add(server.agentId);
+    this.tries += 1;
+    const derived = this.task.context.idempotencyKey !== undefined && !this.randomIds;
+    return this.start(attemptId, server, derived);
+  }
+
+  /** `shared`: another request with the same key may have started the attempt. */
+  private start(attemptId: string, server: RoutedServer, shared: boolean): SentAttempt {
+    const { context, stage, input, onChunk } = this.task;
     const attempt = new SentAttempt(this.services, {
       server,
       context,
       onChunk,
-      shared: context.idempotencyKey !== undefined && !this.randomIds,
+      shared,
       content: {
-        attemptId: this.nextAttemptId(),
+        attemptId,
         requestId: context.requestId,
         account: context.account.id,
         template: context.template,
@@ -108,7 +124,7 @@
         replacesClaim: this.replacesClaim,
         weight: context.weight,
         priority: context.account.priority,
-        hedge: this.attempts.length > 0,
+        hedge: this.tries > 1,
         pinnedRevision: context.pinnedRevision,
         traceparent: context.traceparent,
       },
@@ -118,6 +134,23 @@
     return attempt;
   }
 
+  /** Hedges idempotent stages; only budgeted, and only to a server that has a free slot. */
+  private follow(attempt: SentAttempt): Promise<EndedAttempt> {
+    const { context, stage } = this.task;
+    const { router, hedges } = this.services;
+    const expected = router.times.expect({ template: context.template, stage: stage.name });
+    if (!stage.idempotent || !hedges || !expected) {
+      return attempt.end.then((end) => ({ attempt, end }));
+    }
+    hedges.earn();
+    return raceWithHedge(attempt, expected.highFirstMs, () => {
+      const server = this.route();
+      if (!server || !router.hasFreeSlot(server.agentId) || !hedges.trySpend()) return null;
+      context.decide(stage.name, 'hedge', `no answer after ${expected.highFirstMs} ms`);
+      return this.send(server);
+    });
+  }
+
   private nextAttemptId(): string {
     const { account, idempotencyKey } = this.task.context;
     if (idempotencyKey === undefined || this.randomIds) return createAttemptId();
@@ -180,19 +213,26 @@
   }
 
   private takeRefusal(frame: RefusedFrame): Promise<Step> | Step {
-    const action = REFUSAL_ACTIONS[frame.reason];
+    const action = actionAfter(frame.reason);
     const handlers: Record<RefusalAction['kind'], () => Promise<Step> | Step> = {
       'try-next': () => {
         this.noteFailure(action.failure, frame.message, frame.retryAfterMs);
         return null;
       },
       'try-again': () => this.tryAgain(frame),
+      'new-try': () => this.tryAfterVoid(frame),
       'new-id': () => {
         if (!this.task.stage.idempotent) return this.fail('idempotency-key-reused', frame.message);
         this.randomIds = true;
         this.tried.clear();
         return null;
       },
+      'try-fresh': () => {
+        const isOwn = this.randomIds || this.task.context.idempotencyKey === undefined;
+        if (isOwn) return this.fail(action.failure, frame.message, frame.retryAfterMs);
+        this.randomIds = true;
+        return this.tryAgain(frame);
+      },
       settle: () => this.settleClaim(frame),
       fail: () => this.fail(action.failure, frame.message, frame.retryAfterMs),
     };
@@ -206,13 +246,64 @@
     return null;
   }
 
+  /** Derived ids of several tries may all have been voided by earlier requests with this key. */
+  private tryAfterVoid(frame: RefusedFrame): Step {
+    this.noteFailure('unavailable', frame.message);
+    this.voidedTries += 1;
+    if (this.voidedTries > 1) this.randomIds = true;
+    this.tried.clear();
+    return null;
+  }
+
   private async settleClaim(frame: RefusedFrame): Promise<Step> {
     const { stage, context } = this.task;
-    if (!frame.claim) return this.fail('outcome-unknown', 'claimed by an unknown attempt');
-    const verdict = await this.services.claims.settle(frame.claim, stage.name, context);
-    context.decide(stage.name, 'settle', verdict.kind);
-    if (verdict.kind === 'output') return this.finish(verdict.output, NO_USAGE, true);
-    return this.fail('outcome-unknown', `stage "${stage.name}" may have run`, undefined, 'unknown');
+    if (!frame.claim || context.idempotencyKey === undefined) {
+      return this.failUnknown('the claim row is not readable');
+    }
+    const dispute = {
+      claim: frame.claim,
+      account: context.account.id,
+      idempotencyKey: context.idempotencyKey,
+      stage: stage.name,
+      signal: context.signal,
+    };
+    for (;;) {
+      const verdict = await this.services.claims.settle(dispute);
+      context.decide(stage.name, 'settle', verdict.kind);
+      if (verdict.kind === 'output') return this.finish(verdict.output, NO_USAGE, true);
+      if (verdict.kind === 'unknown') return this.failUnknown(verdict.message);
+      if (verdict.kind === 'replace') return this.replace(verdict.claim);
+      const step = await this.join(verdict.claim);
+      if (step !== 'again') return step;
+      await this.sleep(RETRY_PAUSE_MS);
+    }
+  }
+
+  private replace(claim: Claim): null {
+    this.replacesClaim = claim;
+    this.tried.clear();
+    return null;
+  }
+
+  /** Follows the attempt of the holder instead of running another one. */
+  private async join(claim: Claim): Promise<Step | 'again'> {
+    const { pool } = this.task.stage;
+    const server = { ...claim, pool, failureDomain: '', region: '' };
+    const attempt = this.start(claim.attemptId, server, true);
+    const end = await attempt.end;
+    if (end.kind === 'result') return this.takeResult(attempt, end.frame);
+    if (end.kind === 'failed') return this.retryAfterFailure(end.frame.message, true);
+    const isVoided = end.kind === 'refused' && end.frame.reason === 'voided';
+    if (isVoided && end.frame.incarnation === claim.incarnation) return this.replace(claim);
+    if (end.kind === 'refused' && end.frame.reason === 'attempt-mismatch') {
+      return this.fail('idempotency-key-reused', end.frame.message);
+    }
+    return 'again';
+  }
+
+  private failUnknown(message: string): Promise<StageEnd> {
+    const text = `stage "${this.task.stage.name}" may have run: ${message}`;
+    return this.fail('outcome-unknown', text, undefined, 'unknown');
   }
 
   /** @returns false if there is no time or no reason to wait for servers. */
@@ -271,3 +362,22 @@
     return this.task.stage.idempotent || finished ? 'ran' : 'unknown';
   }
 }
+
+/**
+ * Requests with a key go to the key's first candidate, so that a caller's retry joins them there;
+ * prompts with the same start go to one engine, which has that start in its cache.
+ */
+function placementOf({
+  context,
+  stage,
+  input,
+}: StageTask): Pick<RouteRequest, 'key' | 'placement'> {
+  if (context.idempotencyKey !== undefined) {
+    return { key: `${context.account.id}/${context.idempotencyKey}`, placement: 'sticky' };
+  }
+  if (stage.kind === 'generate' && typeof input.prompt === 'string') {
+    const prefix = input.prompt.slice(0, AFFINITY_PREFIX_LENGTH);
+    return { key: `${stage.model ?? ''}/${prefix}`, placement: 'affinity' };
+  }
+  return { key: context.requestId, placement: 'spread' };
+}
--- a/src/entry/Types.ts
+++ b/src/entry/Types.ts
@@ -12,7 +12,7 @@
 export type FailedFrame = Extract<Frame, { type: 'failed' }>;
 
 /** The part of an attempt that stays the same when it is sent again. */
-export type AttemptContent = Omit<Attempt, 'remainingMs' | 'resumeFrom' | 'notice'>;
+export type AttemptContent = Omit<Attempt, 'remainingMs' | 'resumeFrom' | 'notice' | 'sender'>;
 
 /** An attempt and what its answer is checked against. */
 export interface AttemptOrder {
@@ -86,7 +86,7 @@
   readonly context: RequestContext;
   readonly stage: Stage;
   readonly input: Record<string, unknown>;
-  /** Takes generated text; `offset` 0 again means that the text starts anew. */
+  /** Takes generated text; a further attempt starts again at offset 0. */
   readonly onChunk: (offset: number, text: string) => void;
 }
 
