Retry once with an own attempt id after any refusal that may be old

An agent keeps a refusal under the attempt id, and ids derived from an idempotency key are shared by later requests with that key. After that was handled for claim-unavailable and voided; queue-full, infeasible, draining and stale-revision stick to the key in the same way. One rule now covers all: the first refusal of a derived id that may be old is followed by attempts with random ids. The claim row still lets only one attempt of a non-idempotent stage run.

--- a/src/entry/Claims.test.ts
+++ b/src/entry/Claims.test.ts
@@ -205,3 +205,18 @@
   assert.equal(agent.runs.length, 1);
   assert.equal(next, damages.length);
 });
+
+test('a refusal that an earlier request with the key was given does not stick to the key', async () => {
+  for (const reason of ['queue-full', 'claim-unavailable', 'voided', 'infeasible'] as const) {
+    const derived = new Set<string>();
+    const agent = await startAgent('a', ({ attemptId }) => {
+      // Derived ids are digests of 64 digits; random ones have 32.
+      if (attemptId.length !== 64) return RUN;
+      derived.add(attemptId);
+      return { kind: 'refuse', reason };
+    });
+    const { url } = await start({ agents: [agent] });
+    assert.equal((await post(url, 'deposit', { sum: 5 }, KEY)).status, 200);
+    assert.equal(derived.size, 1);
+  }
+});
--- a/src/entry/RefusalActions.ts
+++ b/src/entry/RefusalActions.ts
@@ -5,32 +5,38 @@
 /**
  * - `try-next`: another server may take it.
  * - `try-again`: the same server may take it a little later.
- * - `new-try`: the attempt was voided, by another entry; a new one may run.
  * - `new-id`: the attempt id is in use for another input.
- * - `try-fresh`: an earlier request with the same key may have got this refusal. The agent keeps it
- *   under the derived attempt id, so one attempt with an id of its own tells what holds now.
  * - `settle`: another attempt holds the claim.
  * - `fail`: no server will take it.
  */
 export interface RefusalAction {
-  readonly kind: 'try-next' | 'try-again' | 'new-try' | 'new-id' | 'try-fresh' | 'settle' | 'fail';
+  readonly kind: 'try-next' | 'try-again' | 'new-id' | 'settle' | 'fail';
   /** Error that the caller gets if the request fails because of it. */
   readonly failure: CallerErrorKind;
+  /**
+   * An agent keeps a refusal under the attempt id for its retention time. With an id derived from the
+   * key it may have been given to an earlier request; one attempt with an id of its own tells what
+   * holds now.
+   */
+  readonly mayBeOld: boolean;
 }
 
 /** Reasons that are not listed concern one server only. */
-const DEFAULT_ACTION: RefusalAction = { kind: 'try-next', failure: 'unavailable' };
+const DEFAULT_ACTION: RefusalAction = { kind: 'try-next', failure: 'unavailable', mayBeOld: true };
 
 const ACTIONS: Readonly<Partial<Record<RefusalReason, RefusalAction>>> = {
-  infeasible: { kind: 'try-next', failure: 'infeasible' },
-  'queue-full': { kind: 'try-next', failure: 'overloaded' },
-  'stale-revision': { kind: 'try-again', failure: 'unavailable' },
-  voided: { kind: 'new-try', failure: 'unavailable' },
-  claimed: { kind: 'settle', failure: 'outcome-unknown' },
-  'claim-unavailable': { kind: 'try-fresh', failure: 'unavailable' },
-  'attempt-mismatch': { kind: 'new-id', failure: 'idempotency-key-reused' },
-  'idempotency-key-reused': { kind: 'fail', failure: 'idempotency-key-reused' },
-  invalid: { kind: 'fail', failure: 'bad-request' },
+  infeasible: { kind: 'try-next', failure: 'infeasible', mayBeOld: true },
+  'queue-full': { kind: 'try-next', failure: 'overloaded', mayBeOld: true },
+  'stale-revision': { kind: 'try-again', failure: 'unavailable', mayBeOld: true },
+  claimed: { kind: 'settle', failure: 'outcome-unknown', mayBeOld: false },
+  'claim-unavailable': { kind: 'fail', failure: 'unavailable', mayBeOld: true },
+  'attempt-mismatch': { kind: 'new-id', failure: 'idempotency-key-reused', mayBeOld: false },
+  'idempotency-key-reused': {
+    kind: 'fail',
+    failure: 'idempotency-key-reused',
+    mayBeOld: false,
+  },
+  invalid: { kind: 'fail', failure: 'bad-request', mayBeOld: false },
 };
 
 /**
--- a/src/entry/StageRun.ts
+++ b/src/entry/StageRun.ts
@@ -45,8 +45,6 @@
 
   private tries = 0;
 
-  private voidedTries = 0;
-
   /** True if derived attempt ids are in use for another input or were refused. */
   private randomIds = false;
 
@@ -97,8 +95,7 @@
     const attemptId = this.nextAttemptId();
     this.tried.add(server.agentId);
     this.tries += 1;
-    const derived = this.task.context.idempotencyKey !== undefined && !this.randomIds;
-    return this.start(attemptId, server, derived);
+    return this.start(attemptId, server, this.usesDerivedIds());
   }
 
   /** `shared`: another request with the same key may have started the attempt. */
@@ -151,6 +148,10 @@
     });
   }
 
+  private usesDerivedIds(): boolean {
+    return this.task.context.idempotencyKey !== undefined && !this.randomIds;
+  }
+
   private nextAttemptId(): string {
     const { account, idempotencyKey } = this.task.context;
     if (idempotencyKey === undefined || this.randomIds) return createAttemptId();
@@ -214,25 +215,24 @@
 
   private takeRefusal(frame: RefusedFrame): Promise<Step> | Step {
     const action = actionAfter(frame.reason);
+    if (action.mayBeOld && this.usesDerivedIds()) {
+      this.noteFailure(action.failure, frame.message, frame.retryAfterMs);
+      this.randomIds = true;
+      this.tried.clear();
+      return null;
+    }
     const handlers: Record<RefusalAction['kind'], () => Promise<Step> | Step> = {
       'try-next': () => {
         this.noteFailure(action.failure, frame.message, frame.retryAfterMs);
         return null;
       },
       'try-again': () => this.tryAgain(frame),
-      'new-try': () => this.tryAfterVoid(frame),
       'new-id': () => {
         if (!this.task.stage.idempotent) return this.fail('idempotency-key-reused', frame.message);
         this.randomIds = true;
         this.tried.clear();
         return null;
       },
-      'try-fresh': () => {
-        const isOwn = this.randomIds || this.task.context.idempotencyKey === undefined;
-        if (isOwn) return this.fail(action.failure, frame.message, frame.retryAfterMs);
-        this.randomIds = true;
-        return this.tryAgain(frame);
-      },
       settle: () => this.settleClaim(frame),
       fail: () => this.fail(action.failure, frame.message, frame.retryAfterMs),
     };
@@ -246,15 +246,6 @@
     return null;
   }
 
-  /** Derived ids of several tries may all have been voided by earlier requests with this key. */
-  private tryAfterVoid(frame: RefusedFrame): Step {
-    this.noteFailure('unavailable', frame.message);
-    this.voidedTries += 1;
-    if (this.voidedTries > 1) this.randomIds = true;
-    this.tried.clear();
-    return null;
-  }
-
   private async settleClaim(frame: RefusedFrame): Promise<Step> {
     const { stage, context } = this.task;
     if (!frame.claim || context.idempotencyKey === undefined) {
