Explain, trace and count requests

Decisions of the last 10,000 requests are kept by request id and answered over tRPC. A span route per attempt is the parent of the agent's spans and has a span relay inside it once chunks arrive; the caller's traceparent, if any, is the parent of the span entry. Counters by template and error kind, histograms of first-token and total latency, and a counter of retries, hedges, re-sends, restarts, claims settled and ejections.

--- a/src/entry/Admission.ts
+++ b/src/entry/Admission.ts
@@ -22,6 +22,8 @@
   /** Time that the request may take, in ms. */
   readonly deadlineMs: number;
   readonly weight: number;
+  /** W3C trace context of the caller. */
+  readonly traceparent: string | undefined;
 }
 
 /** Outcome of a check. */
@@ -84,6 +86,7 @@
       idempotencyKey: key.value,
       deadlineMs,
       weight: weightOf(account),
+      traceparent: typeof headers.traceparent === 'string' ? headers.traceparent : undefined,
     },
   };
 }
--- a/src/entry/CallerApi.ts
+++ b/src/entry/CallerApi.ts
@@ -7,6 +7,7 @@
 import type { ConfigurationSource } from '../follower/Types.js';
 import { authenticate, checkRequest, refuse, type CheckedRequest } from './Admission.js';
 import { createRequestId } from './AttemptId.js';
+import type { EntryTelemetry } from './EntryTelemetry.js';
 import { CallerResponse } from './CallerResponse.js';
 import { readBody } from './HttpBody.js';
 import { executeRequest } from './RequestActor.js';
@@ -20,6 +21,7 @@
   readonly clock: Clock;
   readonly configuration: ConfigurationSource;
   readonly executor: StageExecutor;
+  readonly telemetry: EntryTelemetry;
   /** @returns expected time of a plan, for refusing requests that can't finish in time. */
   readonly forecast: (plan: PipelinePlan) => Forecast;
 }
@@ -52,6 +54,7 @@
     if (refusal) {
       // The rest of a body that was not read must not be taken for the next request.
       if (!request.complete) response.setHeader('connection', 'close');
+      this.options.telemetry.countRefusal(refusal.kind);
       answer.fail(refusal);
     }
     return true;
@@ -117,6 +120,13 @@
     revision: number,
   ): Promise<void> {
     const requestId = createRequestId(this.options.entryId);
+    const telemetry = this.options.telemetry.begin({
+      requestId,
+      account: checked.account.id,
+      template: checked.plan.template,
+      traceparent: checked.traceparent,
+      arrivedAt,
+    });
     const abandon = new AbortController();
     const giveUp = (reason: AbandonReason) => abandon.abort(reason);
     const deadline = setTimeout(() => giveUp('deadline'), checked.deadlineMs);
@@ -130,9 +140,10 @@
       pinnedRevision: revision,
       weight: checked.weight,
       signal: abandon.signal,
-      traceparent: undefined,
-      decide: () => undefined,
+      traceAttempt: (stage, agentId) => telemetry.traceAttempt(stage, agentId),
+      decide: (stage, action, reason) => telemetry.decide(stage, action, reason),
     };
+    telemetry.decide(null, 'admit', `revision ${revision}, deadline ${checked.deadlineMs} ms`);
     answer.accept(requestId);
     const end = await this.track(() =>
       executeRequest(
@@ -141,12 +152,16 @@
           context,
           plan: checked.plan,
           input: checked.input,
-          onChunk: (offset, text) => answer.chunk(offset, text),
+          onChunk: (offset, text) => {
+            telemetry.noteChunk();
+            answer.chunk(offset, text);
+          },
         },
         this.options.executor,
       ),
     );
     clearTimeout(deadline);
+    telemetry.finish(end);
     answer.finish(requestId, end);
   }
 
--- a/src/entry/Entry.ts
+++ b/src/entry/Entry.ts
@@ -13,6 +13,7 @@
 import { AgentDirectory } from './AgentDirectory.js';
 import { CallerApi } from './CallerApi.js';
 import { ClaimSettler } from './ClaimSettler.js';
+import { EntryTelemetry } from './EntryTelemetry.js';
 import { createEntryRouter } from './EntryRouter.js';
 import { EntryServer, type Handler } from './EntryServer.js';
 import type { EntrySettings } from './EntrySettings.js';
@@ -57,6 +58,8 @@
 
   private readonly callers: CallerApi;
 
+  private readonly telemetry: EntryTelemetry;
+
   private probeTimer: NodeJS.Timeout | null = null;
 
   private readonly server: EntryServer;
@@ -98,11 +101,13 @@
       schemas: new SchemaChecks(),
       ledger: options.ledger,
     });
+    this.telemetry = new EntryTelemetry(clock, options.tracing, options.metrics);
     this.callers = new CallerApi({
       entryId: settings.id,
       clock,
       configuration,
       executor,
+      telemetry: this.telemetry,
       forecast: policy.feasibility
         ? ({ template, stages }) => forecastStages(this.router, template, stages)
         : () => ({ expectedMs: 0, waitMs: 0 }),
@@ -200,7 +205,7 @@
     const { configuration, settings } = this.options;
     return {
       configuration,
-      explanation: async () => null,
+      explanation: async (requestId) => this.telemetry.explain(requestId),
       status: async () => ({
         entryId: settings.id,
         notice: configuration.notice(),
--- /dev/null
+++ b/src/entry/EntryTelemetry.ts
@@ -0,0 +1,83 @@
+import type { Counter, Histogram } from '@opentelemetry/api';
+import { LRUCache } from 'lru-cache';
+import type { Explanation } from '../common/protocol/Control.js';
+import type { Clock } from '../common/time/Types.js';
+import type { Metrics } from '../telemetry/Metrics.js';
+import type { Tracing } from '../telemetry/Tracing.js';
+import { RequestTelemetry } from './RequestTelemetry.js';
+
+/** Requests whose decisions are kept. */
+const MAX_EXPLANATIONS = 10_000;
+
+/** Bucket bounds of time histograms, in milliseconds; the largest deadline of the design is 6 s. */
+const BUCKETS_MS = [5, 10, 20, 50, 100, 200, 300, 500, 700, 900, 1200, 2000, 3000, 6000, 12_000];
+
+/** Counters and histograms of requests. */
+export interface EntryInstruments {
+  readonly requests: Counter;
+  readonly firstMs: Histogram;
+  readonly totalMs: Histogram;
+  /** Decisions that are of interest as rates: retries, hedges, re-sends, ejections. */
+  readonly decisions: Counter;
+}
+
+/** Explanations, spans and metrics of all requests of an entry. */
+export class EntryTelemetry {
+  private readonly explanations = new LRUCache<string, Explanation>({ max: MAX_EXPLANATIONS });
+
+  private readonly instruments: EntryInstruments;
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly tracing: Tracing,
+    { meter }: Metrics,
+  ) {
+    const advice = { explicitBucketBoundaries: BUCKETS_MS };
+    this.instruments = {
+      requests: meter.createCounter('entry_requests', {
+        description: 'Ended requests by template and outcome',
+      }),
+      firstMs: meter.createHistogram('entry_first_token_ms', {
+        description: 'Time from arrival to the first chunk of streamed answers',
+        unit: 'ms',
+        advice,
+      }),
+      totalMs: meter.createHistogram('entry_request_ms', {
+        description: 'Time from arrival to the end of the answer',
+        unit: 'ms',
+        advice,
+      }),
+      decisions: meter.createCounter('entry_decisions', {
+        description: 'Retries, hedges, re-sends and ejections',
+      }),
+    };
+  }
+
+  /**
+   * @param request - ids of a request that was admitted, and the caller's W3C `traceparent`
+   * @returns what its telemetry is noted with
+   */
+  begin(request: {
+    requestId: string;
+    account: string;
+    template: string;
+    traceparent: string | undefined;
+    arrivedAt: number;
+  }): RequestTelemetry {
+    const { requestId, account, template } = request;
+    const explanation = { requestId, account, template, decisions: [] };
+    this.explanations.set(requestId, explanation);
+    const { clock, tracing, instruments } = this;
+    return new RequestTelemetry({ clock, tracing, instruments }, request, explanation.decisions);
+  }
+
+  /** Counts a request that was refused before anything was dispatched. */
+  countRefusal(kind: string): void {
+    this.instruments.requests.add(1, { outcome: kind });
+  }
+
+  /** @returns decisions about a request, or null if they are not known here. */
+  explain(requestId: string): Explanation | null {
+    return this.explanations.get(requestId) ?? null;
+  }
+}
--- /dev/null
+++ b/src/entry/RequestTelemetry.ts
@@ -0,0 +1,94 @@
+import { trace, type Context, type Span } from '@opentelemetry/api';
+import type { Decision } from '../common/protocol/Control.js';
+import type { Clock } from '../common/time/Types.js';
+import type { Tracing } from '../telemetry/Tracing.js';
+import type { EntryInstruments } from './EntryTelemetry.js';
+import type { AttemptTrace, RequestEnd } from './Types.js';
+
+/** Decisions that are counted. */
+const COUNTED_ACTIONS = new Set(['retry', 'hedge', 'resend', 'restart', 'eject', 'settle']);
+
+/** Shared parts of the telemetry of all requests. */
+export interface TelemetryServices {
+  readonly clock: Clock;
+  readonly tracing: Tracing;
+  readonly instruments: EntryInstruments;
+}
+
+/** Explanation, spans and metrics of one request. */
+export class RequestTelemetry {
+  private readonly span: Span;
+
+  private readonly context: Context;
+
+  private firstChunkAt: number | null = null;
+
+  constructor(
+    private readonly services: TelemetryServices,
+    private readonly request: {
+      readonly requestId: string;
+      readonly account: string;
+      readonly template: string;
+      readonly traceparent: string | undefined;
+      readonly arrivedAt: number;
+    },
+    private readonly decisions: Decision[],
+  ) {
+    const { requestId, account, template, traceparent } = request;
+    const parent = services.tracing.contextOf(traceparent);
+    const attributes = { requestId, account, template };
+    this.span = services.tracing.tracer.startSpan('entry', { attributes }, parent);
+    this.context = trace.setSpan(parent, this.span);
+  }
+
+  /** Notes a decision. */
+  decide(stage: string | null, action: string, reason: string): void {
+    const atMs = Math.round(this.services.clock.now() - this.request.arrivedAt);
+    this.decisions.push({ atMs, stage, action, reason });
+    if (COUNTED_ACTIONS.has(action)) this.services.instruments.decisions.add(1, { action });
+  }
+
+  /** Notes that generated text was passed to the caller. */
+  noteChunk(): void {
+    this.firstChunkAt ??= this.services.clock.now();
+  }
+
+  /**
+   * Starts the span `route` of an attempt, the parent of the agent's spans. Once chunks arrive, a
+   * span `relay` inside it covers passing them on.
+   */
+  traceAttempt(stage: string, agentId: string): AttemptTrace {
+    const { tracer } = this.services.tracing;
+    const { requestId } = this.request;
+    const attributes = { requestId, stage, agentId };
+    const span = tracer.startSpan('route', { attributes }, this.context);
+    const routeContext = trace.setSpan(this.context, span);
+    let relay: Span | null = null;
+    return {
+      traceparent: this.services.tracing.traceparentOf(routeContext),
+      firstChunk: () => {
+        relay ??= tracer.startSpan('relay', { attributes }, routeContext);
+      },
+      end: (outcome) => {
+        relay?.end();
+        span.setAttribute('outcome', outcome);
+        span.end();
+      },
+    };
+  }
+
+  /** Notes the end of the request. */
+  finish(end: RequestEnd): void {
+    const { arrivedAt, template } = this.request;
+    const { requests, firstMs, totalMs } = this.services.instruments;
+    const outcome = end.ok ? 'result' : end.failure.outcome;
+    const kind = end.ok ? 'result' : end.failure.kind;
+    const labels = { template, outcome: kind };
+    requests.add(1, labels);
+    totalMs.record(this.services.clock.now() - arrivedAt, labels);
+    if (this.firstChunkAt !== null) firstMs.record(this.firstChunkAt - arrivedAt, { template });
+    this.decide(null, 'finish', end.ok ? 'result' : `${kind}, ${outcome}: ${end.failure.message}`);
+    this.span.setAttributes({ outcome, kind });
+    this.span.end();
+  }
+}
--- a/src/entry/SentAttempt.ts
+++ b/src/entry/SentAttempt.ts
@@ -5,6 +5,7 @@
   AttemptContent,
   AttemptEnd,
   AttemptListener,
+  AttemptTrace,
   RequestContext,
   ResultFrame,
 } from './Types.js';
@@ -44,6 +45,8 @@
 
   private readonly startedAt: number;
 
+  private readonly trace: AttemptTrace;
+
   private readonly stopper = new AbortController();
 
   /** Incarnation of the agent that received the attempt first; null if it can't be known. */
@@ -62,6 +65,7 @@
     });
     this.startedAt = services.clock.now();
     this.incarnation = services.router.incarnationOf(start.server.agentId);
+    this.trace = start.context.traceAttempt(start.content.stage, start.server.agentId);
     this.end = this.follow();
   }
 
@@ -124,10 +128,16 @@
     const { content, server, context, shared } = this.start;
     const signal = AbortSignal.any([this.stopper.signal, context.signal]);
     router.begin(server.agentId);
-    const order = { content, address: server.address, deadlineAt: context.deadlineAt, shared };
+    const order = {
+      content: { ...content, traceparent: this.trace.traceparent },
+      address: server.address,
+      deadlineAt: context.deadlineAt,
+      shared,
+    };
     const end = await agents.run(order, this.createListener(), signal);
     router.end(server.agentId);
     this.settle(end);
+    this.trace.end('frame' in end && end.kind === 'refused' ? end.frame.reason : end.kind);
     return end;
   }
 
@@ -141,6 +151,7 @@
       onChunk: (offset, text) => {
         if (this.firstChunkAt === null) {
           this.firstChunkAt = this.services.clock.now();
+          this.trace.firstChunk();
           this.resolveFirstChunk();
         }
         this.start.onChunk(offset, text);
--- a/src/entry/StageRun.ts
+++ b/src/entry/StageRun.ts
@@ -123,7 +123,6 @@
         priority: context.account.priority,
         hedge: this.tries > 1,
         pinnedRevision: context.pinnedRevision,
-        traceparent: context.traceparent,
       },
     });
     this.attempts.push(attempt);
--- a/src/entry/Types.ts
+++ b/src/entry/Types.ts
@@ -63,6 +63,14 @@
   acknowledge(address: string, acknowledgement: Acknowledgement): void;
 }
 
+/** Spans of one attempt. */
+export interface AttemptTrace {
+  /** W3C trace context for the agent. */
+  readonly traceparent: string | undefined;
+  firstChunk(): void;
+  end(outcome: string): void;
+}
+
 /** What all stages of one request share. */
 export interface RequestContext {
   readonly requestId: string;
@@ -76,7 +84,8 @@
   readonly weight: number;
   /** Fires when the caller disconnects or the deadline passes. */
   readonly signal: AbortSignal;
-  readonly traceparent: string | undefined;
+  /** Starts the spans of an attempt. */
+  traceAttempt(stage: string, agentId: string): AttemptTrace;
   /** Notes a decision for the explanation of the request. */
   decide(stage: string | null, action: Decision['action'], reason: string): void;
 }
--- a/src/entry/testing/fixtures.ts
+++ b/src/entry/testing/fixtures.ts
@@ -20,7 +20,7 @@
 import type { FakeAgent } from './FakeAgent.js';
 
 export const TOKEN = 'token-of-alba';
-const INTERNAL_TOKEN = 'internal-token-of-tests';
+export const INTERNAL_TOKEN = 'internal-token-of-tests';
 
 /** A template in short form: stages may leave out defaults. */
 export type TemplateInput = Parameters<(typeof Template)['parse']>[0];
@@ -34,6 +34,8 @@
   readonly deadlineMs?: number;
   readonly table?: FakeTableStore;
   readonly id?: string;
+  /** File that gets the spans. */
+  readonly traceFile?: string;
   /** Pool of an agent; `pool` for all by default. */
   readonly poolOf?: (agent: FakeAgent) => string;
 }
@@ -109,7 +111,7 @@
     },
     logger: createLogger('test', 'error'),
     metrics: createMetrics(),
-    tracing: createTracing('test', { sampleRatio: 1 }),
+    tracing: createTracing('test', { sampleRatio: 1, file: options.traceFile }),
     operators: () => async () => false,
   });
   const url = `http://${await entry.start()}`;
