Leave time for a second peer within the 5 s bound

Peers now have 400 ms to answer and the first retry comes after at most 250 ms, doubled up to 2 s so that a long outage stays cheap.

--- a/src/follower/ConfigurationFollower.ts
+++ b/src/follower/ConfigurationFollower.ts
@@ -17,12 +17,17 @@
 
 /** Part of the interval taken off at random. Jitter only shortens it, so the interval is a bound. */
 const JITTER_SHARE = 0.2;
-/** Longest interval while the store does not answer or changes are missing. */
-const RETRY_INTERVAL_MS = 1000;
+/**
+ * Interval after the first poll that failed; doubled up to the longest one. An agent that polls
+ * every 4 s has less than 1 s left for further tries within the bound of 5 s. The longest interval
+ * keeps a long outage cheap: 1,100 processes that ask 3 of 350 entries every 2 s are 5 calls/s each.
+ */
+const FIRST_RETRY_MS = 250;
+const LONGEST_RETRY_MS = 2000;
 /** Peers asked at a time; with three, one that is behind or dead seldom matters. */
 const PEERS_ASKED = 3;
-/** Time-out of a call to a peer; a silent peer must not hold up the next poll. */
-const PEER_TIMEOUT_MS = 1000;
+/** Time-out of a call to a peer; a silent peer must leave time for another try within the bound. */
+const PEER_TIMEOUT_MS = 400;
 /** Times of learning that are kept for {@link ConfigurationFollower.newerKnownForMs}. */
 const LEARNED_LIMIT = 256;
 
@@ -59,6 +64,8 @@
 
   private timer: Disposable | null = null;
 
+  private retryMs = FIRST_RETRY_MS;
+
   private polling: Promise<void> | null = null;
 
   private pollAgain = false;
@@ -169,7 +176,8 @@
   private schedule(complete: boolean): void {
     if (this.disposed) return;
     const { pollIntervalMs, random } = this.options;
-    const interval = complete ? pollIntervalMs : Math.min(pollIntervalMs, RETRY_INTERVAL_MS);
+    const interval = complete ? pollIntervalMs : Math.min(pollIntervalMs, this.retryMs);
+    this.retryMs = complete ? FIRST_RETRY_MS : Math.min(2 * this.retryMs, LONGEST_RETRY_MS);
     this.timer = this.timers.after(interval * (1 - JITTER_SHARE * random.next()), () => {
       this.refresh().catch((error: unknown) => this.options.logger.error('poll failed', error));
     });
--- a/src/follower/testing/SimulatedStore.ts
+++ b/src/follower/testing/SimulatedStore.ts
@@ -16,7 +16,8 @@
 
 /** Faults in force; the test changes them while time passes. */
 export interface StoreFaults {
-  down: boolean;
+  /** The store does not answer before this time. */
+  downUntilMs: number;
   /** Share of transactions whose answer is lost; half of them take effect, some of these late. */
   lostShare: number;
   /** Reads show the state of this long ago. */
@@ -27,7 +28,7 @@
 export class SimulatedStore {
   readonly table = new MemoryTable();
 
-  readonly faults: StoreFaults = { down: false, lostShare: 0, staleMs: 0 };
+  readonly faults: StoreFaults = { downUntilMs: 0, lostShare: 0, staleMs: 0 };
 
   /** States of the table, oldest first. */
   private readonly states = [{ atMs: 0, table: new MemoryTable() }];
@@ -47,7 +48,7 @@
   seenBy(process: SimulatedProcess, isCutOff: () => boolean): TableStore {
     const query = (read: (table: MemoryTable) => Row[], timeoutMs: number) =>
       this.call<Row[]>(process, timeoutMs, (answer) => {
-        if (this.faults.down || isCutOff()) answer(unavailable());
+        if (this.faults.downUntilMs > this.time.now() || isCutOff()) answer(unavailable());
         else answer({ ok: true, value: read(this.tableOf(this.time.now() - this.faults.staleMs)) });
       });
     return {
@@ -56,7 +57,7 @@
       scan: (range, { timeoutMs }) => query((table) => table.scan(range), timeoutMs),
       transaction: (request, { timeoutMs }) =>
         this.call<Row[]>(process, timeoutMs, (answer) => {
-          if (this.faults.down || isCutOff()) answer(unavailable());
+          if (this.faults.downUntilMs > this.time.now() || isCutOff()) answer(unavailable());
           else if (this.random.next() >= this.faults.lostShare) answer(this.commit(request));
           else this.loseAnswer(request);
         }),
