Make the proofs of drain, configuration and wholeness reach their faults

Entries print their ready line before they have a configuration; a lag of the membership list that was set at run time showed the empty list of the start; answers were never crossed, because agents answer at once and no connection waits; the drain proof offered more than one engine can serve.

The launcher waits for `GET /readyz`, the membership list starts with all instances, connections in use are crossed, and faults with shares hit all servers of the pools.

--- a/src/load/launch/Cluster.ts
+++ b/src/load/launch/Cluster.ts
@@ -3,6 +3,7 @@
 import type { Instance } from '../../common/protocol/Membership.js';
 import { StandinClient } from '../client/StandinClient.js';
 import type { NaiveSettings } from '../naive/NaiveSettings.js';
+import { waitUntilReady } from './Readiness.js';
 import { writeSeed } from './ConfigurationSeed.js';
 import { Launcher } from './Launcher.js';
 import type { ManagedProcess } from './ManagedProcess.js';
@@ -114,17 +115,20 @@
   }
 
   private async startAll(): Promise<void> {
-    await this.startStandins();
-    await writeSeed(this.table.address, this.options.deployment);
+    await this.placeStandins();
     const platform = await this.platformSettings();
     await this.defineAgents(platform);
     await this.defineEntries(platform);
-    await this.membership.setInstances(this.instances());
+    await this.startStandins();
+    await writeSeed(this.table.address, this.options.deployment);
     await startInBatches(this.agents.map((agent) => agent.process));
     await startInBatches(this.entries.map((entry) => entry.process));
+    if (this.naive) return;
+    const members = [...this.agents, ...this.entries];
+    await Promise.all(members.map((member) => waitUntilReady(member.address)));
   }
 
-  private async startStandins(): Promise<void> {
+  private async placeStandins(): Promise<void> {
     const { pools, failureDomains } = this.options.deployment;
     const wanted = pools.flatMap((pool) =>
       Array.from({ length: pool.servers }, (_unused, index) => ({ pool, index })),
@@ -145,7 +149,16 @@
         control: new StandinClient(address),
       });
     });
-    await this.defineStandin('platform', platformServices({ table, objects, membership }));
+  }
+
+  private async startStandins(): Promise<void> {
+    const { table, objects, membership } = this;
+    const addresses = {
+      table: table.address,
+      objects: objects.address,
+      membership: membership.address,
+    };
+    await this.defineStandin('platform', platformServices(addresses, this.instances()));
     for (let first = 0; first < this.servers.length; first += BACKENDS_PER_PROCESS) {
       const hosted = this.servers.slice(first, first + BACKENDS_PER_PROCESS);
       await this.defineStandin(`backends-${first}`, hosted.map(backendService));
--- /dev/null
+++ b/src/load/launch/Readiness.ts
@@ -0,0 +1,35 @@
+/** Readiness of entries and agents, as the platform's balancer asks for it. */
+import { setTimeout as sleep } from 'node:timers/promises';
+import { request } from 'undici';
+
+const READY_TIMEOUT_MS = 20_000;
+const POLL_INTERVAL_MS = 100;
+
+/**
+ * Polls `GET /readyz` until it is answered with status 200.
+ * @param address - `ip:port` of an entry or agent
+ * @throws Error if the process does not become ready in time
+ */
+export async function waitUntilReady(address: string): Promise<void> {
+  const giveUpAt = Date.now() + READY_TIMEOUT_MS;
+  while (!(await isReady(address))) {
+    if (Date.now() > giveUpAt) throw new Error(`${address} did not become ready`);
+    await sleep(POLL_INTERVAL_MS);
+  }
+}
+
+/**
+ * @param address - `ip:port` of an entry or agent
+ * @returns whether the process calls itself ready
+ */
+export async function isReady(address: string): Promise<boolean> {
+  try {
+    const response = await request(`http://${address}/readyz`, {
+      signal: AbortSignal.timeout(500),
+    });
+    await response.body.dump();
+    return response.statusCode === 200;
+  } catch {
+    return false;
+  }
+}
--- a/src/load/launch/StandinServices.ts
+++ b/src/load/launch/StandinServices.ts
@@ -1,5 +1,6 @@
 /** Settings of stand-in services. */
 import type { z } from 'zod';
+import type { Instance } from '../../common/protocol/Membership.js';
 import type { ServiceSettings } from '../../standin/StandinSettings.js';
 import { MODEL } from '../deployment/Templates.js';
 import type { BackendServer } from './Types.js';
@@ -14,17 +15,22 @@
 
 /**
  * @param addresses - `ip:port` of table service, object store and membership list
+ * @param instances - content of the membership list at the start
  * @returns services of the platform
  */
-export function platformServices(addresses: {
-  table: string;
-  objects: string;
-  membership: string;
-}): StandinService[] {
+export function platformServices(
+  addresses: { table: string; objects: string; membership: string },
+  instances: readonly Instance[],
+): StandinService[] {
   return [
     { kind: 'table', name: 'table', address: addresses.table },
     { kind: 'object', name: 'objects', address: addresses.objects },
-    { kind: 'membership', name: 'membership', address: addresses.membership },
+    {
+      kind: 'membership',
+      name: 'membership',
+      address: addresses.membership,
+      instances: [...instances],
+    },
   ];
 }
 
--- a/src/load/launch/TcpRelay.ts
+++ b/src/load/launch/TcpRelay.ts
@@ -1,3 +1,4 @@
+import { performance } from 'node:perf_hooks';
 import { connect, createServer, type AddressInfo, type Server, type Socket } from 'node:net';
 import { LOOPBACK } from './Ports.js';
 
@@ -7,12 +8,15 @@
   readonly far: Socket;
   /** Drops all bytes in both directions and never closes. */
   silent: boolean;
-  /** True from the first byte of a request to the first byte of its answer. */
-  isWaiting: boolean;
+  /** Monotonic time of the last transfer; the connection carries an exchange if it is recent. */
+  activeAt: number;
   /** Gets the answers; another connection's near side after two were crossed. */
   receiver: Socket;
 }
 
+/** Streams have a heartbeat every 250 ms; connections without a transfer for longer are idle. */
+const IDLE_AFTER_MS = 400;
+
 /** One whole chunk of a chunked HTTP body, but not the last one. */
 const WHOLE_CHUNK = /^[1-9a-f][0-9a-f]*\r\n[^]*\r\n$/i;
 
@@ -85,17 +89,18 @@
   }
 
   /**
-   * Exchanges the answers of connections that wait for one, two by two.
+   * Exchanges the answers of connections in use, two by two.
    * @returns number of connections whose answers go to another one from now on
    */
   cross(): number {
-    const waiting = [...this.connections].filter(
-      (connection) => connection.isWaiting && !connection.silent,
+    const now = performance.now();
+    const active = [...this.connections].filter(
+      (connection) => now - connection.activeAt < IDLE_AFTER_MS && !connection.silent,
     );
-    const pairs = Math.floor(waiting.length / 2);
+    const pairs = Math.floor(active.length / 2);
     for (let pair = 0; pair < pairs; pair += 1) {
-      const left = waiting[2 * pair]!;
-      const right = waiting[2 * pair + 1]!;
+      const left = active[2 * pair]!;
+      const right = active[2 * pair + 1]!;
       [left.receiver, right.receiver] = [right.receiver, left.receiver];
     }
     this.crossed += 2 * pairs;
@@ -118,14 +123,14 @@
     }
     const [host, port] = this.target.split(':');
     const far = connect(Number(port), host);
-    const connection = { near, far, silent: false, isWaiting: false, receiver: near };
+    const connection = { near, far, silent: false, activeAt: 0, receiver: near };
     this.connections.add(connection);
     near.on('data', (bytes) => {
-      connection.isWaiting = true;
+      connection.activeAt = performance.now();
       this.send(connection, far, bytes);
     });
     far.on('data', (bytes) => {
-      connection.isWaiting = false;
+      connection.activeAt = performance.now();
       this.send(connection, connection.receiver, bytes);
       if (this.repeating && WHOLE_CHUNK.test(bytes.toString('latin1'))) {
         this.repeated += 1;
--- a/src/load/prove/Balancer.ts
+++ b/src/load/prove/Balancer.ts
@@ -1,6 +1,6 @@
 import type { Cluster } from '../launch/Cluster.js';
 import type { EntryInstance } from '../launch/Types.js';
-import { isReady } from './Recovery.js';
+import { isReady } from '../launch/Readiness.js';
 
 /** Interval of health checks, in milliseconds. */
 const HEALTH_CHECK_MS = 100;
--- a/src/load/prove/Drain.ts
+++ b/src/load/prove/Drain.ts
@@ -11,8 +11,11 @@
 const DRAIN_BOUND_MS = 3000;
 
 const MEMBERSHIP_LAG_MS = 30_000;
-const REQUESTS_PER_SECOND = 15;
-const WARM_UP_MS = 1500;
+
+/** One engine alone must be able to serve it, so that no request may fail because of the drain. */
+const REQUESTS_PER_SECOND = 5;
+
+const WARM_UP_MS = 3000;
 
 /** The store is down here; only idempotent templates can be served. */
 const TEMPLATES = ['stitch-plan', 'floor-question', 'order-status'];
--- a/src/load/prove/FaultActions.ts
+++ b/src/load/prove/FaultActions.ts
@@ -92,7 +92,7 @@
   };
 }
 
-/** Tries for a while, because two requests must wait for their answers at one relay at a moment. */
+/** Tries for a while, because two connections of one relay must be in use at a moment. */
 async function crossAnswers({ cluster }: FaultTarget): Promise<number> {
   const giveUpAt = Date.now() + SHORT_MS;
   let crossed = 0;
@@ -125,6 +125,16 @@
   return Math.min(...replaced);
 }
 
+/** Hits all servers of the pools, so that some calls are hit in a short time. */
+function everyServerFault(faults: z.input<typeof Faults>): FaultAction {
+  return async ({ cluster, pools, random }) => {
+    const servers = pools.flatMap((pool) => cluster.serversOf(pool));
+    const durationMs = between(random, SHORT_MS, LONG_MS);
+    const hits = servers.map((server) => withFaults(server.control, faults, durationMs));
+    return (await Promise.all(hits)).reduce((total, count) => total + count, 0);
+  };
+}
+
 /** What each fault does. */
 export const FAULT_ACTIONS = {
   'kill-agent': (target) => killAndReplace(pickAgent(target)?.process),
@@ -144,10 +154,10 @@
   'table-stale-reads': tableFault({ staleReadMs: 3000 }),
   'table-outage-with-start': startDuringOutage,
   'table-slow': tableFault({ delayMs: 150 }),
-  'server-lost-answers': serverFault({ lostAnswerShare: 0.3 }),
-  'server-errors': serverFault({ errorShare: 0.5 }),
+  'server-lost-answers': everyServerFault({ lostAnswerShare: 0.2 }),
+  'server-errors': everyServerFault({ errorShare: 0.2 }),
   'server-slow': serverFault({ slowFactor: 6 }),
-  'server-truncates': serverFault({ truncatedShare: 0.4 }),
+  'server-truncates': everyServerFault({ truncatedShare: 0.2 }),
   'server-outage': serverFault({ outage: true }),
 } as const satisfies Record<string, FaultAction>;
 
--- a/src/load/prove/RacingOperators.ts
+++ b/src/load/prove/RacingOperators.ts
@@ -9,7 +9,7 @@
 import type { Accepted } from './RevisionWatch.js';
 
 const PAUSE_MS = 250;
-const SENDS_OF_ONE_CHANGE = 8;
+const SENDS_OF_ONE_CHANGE = 30;
 
 /** Accepted change with what it says. */
 export interface AcceptedChange extends Accepted {
--- a/src/load/prove/Shutdown.ts
+++ b/src/load/prove/Shutdown.ts
@@ -5,7 +5,7 @@
 import type { EntryInstance } from '../launch/Types.js';
 import { Balancer } from './Balancer.js';
 import { MixedLoad, nameOf } from './MixedLoad.js';
-import { waitUntilReady } from './Recovery.js';
+import { waitUntilReady } from '../launch/Readiness.js';
 import type { Proof, ProofContext, ProofOutcome } from './Types.js';
 import { withCluster } from './WithCluster.js';
 
