--- a/src/agent/AgentProcess.test.ts
+++ b/src/agent/AgentProcess.test.ts
@@ -1,9 +1,15 @@
 import assert from 'node:assert/strict';
+import { mkdtemp, readFile, rm } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
 import { after, before, test } from 'node:test';
 import { request } from 'undici';
 import { createAttempt } from '../common/gate/testing/AttemptFixture.js';
 import { sha256 } from '../common/Digest.js';
 import { ATTEMPT_PATH } from '../common/protocol/Attempt.js';
+import { LEDGER_TABLE, LedgerRow } from '../common/protocol/Ledger.js';
+import { HttpTableStore } from '../platform/HttpTableStore.js';
+import type { SpanRecord } from '../telemetry/Tracing.js';
 import {
   startAgent,
   startStandins,
@@ -142,3 +148,43 @@
   await acknowledge(running.attemptId, other);
   await stopped;
 });
+
+test('usage and spans are written before the process ends (an update must not lose costs)', async () => {
+  const directory = await mkdtemp(join(tmpdir(), 'citronstage-agent-'));
+  const file = join(directory, 'spans');
+  const other = await startAgent(standins, 'plain', { id: 'metered', tracing: { file } });
+  const traceId = '0af7651916cd43dd8448eb211c80319c';
+  const parentSpanId = 'b7ad6b7169203331';
+  const attempt = createAttempt({
+    idempotent: false,
+    idempotencyKey: 'metered',
+    traceparent: `00-${traceId}-${parentSpanId}-01`,
+  });
+  const lost = createAttempt();
+  await Promise.all([other.submit(attempt), other.submit(lost)]);
+  const attempts = [
+    { attemptId: attempt.attemptId, won: true },
+    { attemptId: lost.attemptId, won: false },
+  ];
+  await other.control.attempt.acknowledge.mutate({ attempts });
+  await other.process.stop();
+  const spans = (await readFile(file, 'utf8'))
+    .trim()
+    .split('\n')
+    .map((line) => JSON.parse(line) as SpanRecord);
+  assert.deepEqual(
+    spans.map((span) => [span.name, span.traceId, span.parentSpanId]),
+    ['queue', 'claim', 'backend'].map((name) => [name, traceId, parentSpanId]),
+  );
+  const store = new HttpTableStore(standins.url('table'));
+  const range = { table: LEDGER_TABLE, prefix: 'agent/metered/', limit: 10 };
+  const rows = await store.scan(range, { timeoutMs: 1000 });
+  assert.ok(rows.ok);
+  const entries = rows.value.flatMap((row) => LedgerRow.parse(row.value).entries);
+  const counts = entries.map((entry) => [entry.class, entry.attempts, entry.usage.calls]);
+  assert.deepEqual(counts.sort(), [
+    ['overhead', 1, 1],
+    ['useful', 1, 1],
+  ]);
+  await rm(directory, { recursive: true });
+});
--- /dev/null
+++ b/src/agent/DrainState.test.ts
@@ -0,0 +1,40 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { ConfigurationSnapshot } from '../common/protocol/Configuration.js';
+import { DrainState } from './DrainState.js';
+
+function createSnapshot(draining?: boolean): ConfigurationSnapshot {
+  const id = 'server';
+  const servers = new Map(draining === undefined ? [] : [[id, { id, draining }]]);
+  const empty = new Map<string, never>();
+  return { revision: 1, templates: empty, accounts: empty, accountsByToken: empty, servers };
+}
+
+test('an unrelated change does not end a drain that the configuration does not hold yet', () => {
+  const state = new DrainState('server');
+  state.command(true);
+  state.configure(createSnapshot());
+  assert.equal(state.isDraining, true);
+  state.configure(createSnapshot(true));
+  state.configure(createSnapshot(true));
+  assert.equal(state.isDraining, true);
+  state.configure(createSnapshot(false));
+  assert.equal(state.isDraining, false);
+});
+
+test('an agent that missed the direct call drains by the configuration', () => {
+  const state = new DrainState('server');
+  state.configure(createSnapshot(true));
+  assert.equal(state.isDraining, true);
+  state.command(false);
+  state.configure(createSnapshot(true));
+  assert.equal(state.isDraining, false, 'a direct resume is newer than the flag');
+});
+
+test('no command ends the drain of a shutdown', () => {
+  const state = new DrainState('server');
+  state.shutDown();
+  state.command(false);
+  state.configure(createSnapshot(false));
+  assert.equal(state.isDraining, true);
+});
