Let requests wait for the first configuration of a starting entry

An entry prints its ready line once it listens, and its first read of the configuration may time out on a busy machine.

--- a/src/entry/CallerApi.ts
+++ b/src/entry/CallerApi.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import { setTimeout as sleep } from 'node:timers/promises';
 import { start, stop, type ActorSystemRef } from 'nact';
 import { MAX_REQUEST_BYTES } from '../common/protocol/CallerRequest.js';
 import type { PipelinePlan } from '../common/pipeline/PipelinePlan.js';
@@ -13,6 +14,10 @@
 import { executeRequest } from './RequestActor.js';
 import type { AbandonReason, Failure, RequestContext, RequestEnd, StageExecutor } from './Types.js';
 
+/** Longest wait of a request for the first configuration: one poll and one retry of the store. */
+const STARTUP_WAIT_MS = 2000;
+const STARTUP_POLL_MS = 25;
+
 const PATH = /^\/v1\/pipelines\/([^/?]+)\/requests(?:\?.*)?$/;
 
 /** What the caller interface needs. */
@@ -81,7 +86,7 @@
     const arrivedAt = this.options.clock.now();
     if (request.method !== 'POST') return refuse('bad-request', 'the method is not POST').failure;
     const { configuration } = this.options;
-    if (!configuration.ready) {
+    if (!(await this.waitForConfiguration())) {
       return refuse('unavailable', 'this entry has no configuration yet').failure;
     }
     const account = authenticate(request.headers, configuration.snapshot());
@@ -101,6 +106,14 @@
     return null;
   }
 
+  /** A request that arrives while this entry starts waits for the first configuration. */
+  private async waitForConfiguration(): Promise<boolean> {
+    const { configuration, clock } = this.options;
+    const until = clock.now() + STARTUP_WAIT_MS;
+    while (!configuration.ready && clock.now() < until) await sleep(STARTUP_POLL_MS);
+    return configuration.ready;
+  }
+
   private checkFeasible({ plan, deadlineMs }: CheckedRequest): Failure | null {
     const { expectedMs, waitMs } = this.options.forecast(plan);
     if (expectedMs <= deadlineMs) return null;
