--- a/src/load/prove/Drain.ts
+++ b/src/load/prove/Drain.ts
@@ -35,7 +35,7 @@
   await cluster.table.setFaults({ outage: true });
   const drained: { server: BackendServer; at: number; status: number }[] = [];
   for (const pool of POOLS) {
-    const server = cluster.serversOf(pool)[0]!;
+    const server = await busiest(cluster, pool);
     const entry = cluster.entries[drained.length % cluster.entries.length]!;
     const at = Date.now();
     const answer = cluster.naive
@@ -63,6 +63,15 @@
   };
 }
 
+async function busiest(cluster: Cluster, pool: string): Promise<BackendServer> {
+  const counted = cluster.serversOf(pool).map(async (server) => {
+    const { length } = await server.control.runs();
+    return { server, length };
+  });
+  const servers = await Promise.all(counted);
+  return servers.sort((left, right) => right.length - left.length)[0]!.server;
+}
+
 function leaving(
   cluster: Cluster,
   servers: readonly BackendServer[],
--- a/src/load/prove/Proofs.ts
+++ b/src/load/prove/Proofs.ts
@@ -3,6 +3,7 @@
 import { TRUE_REFUSAL } from './TrueRefusal.js';
 import { CONFIGURATION } from './ConfigurationForce.js';
 import { DRAIN } from './Drain.js';
+import { ISOLATION } from './Isolation.js';
 import { NO_LOST_RESULT } from './NoLostResult.js';
 import { SHUTDOWN } from './Shutdown.js';
 import type { Proof } from './Types.js';
@@ -16,4 +17,5 @@
   drain: DRAIN,
   shutdown: SHUTDOWN,
   configuration: CONFIGURATION,
+  isolation: ISOLATION,
 };
