Add measurements of what each role costs

Each measurement starts the real binaries with a probe that Node.js loads before the program: it counts bytes of all sockets through diagnostics channels, reads the processor time of its own process and collects garbage before memory samples. Relays between the processes were ruled out, because they add a process to the path and can't see memory.

--- a/src/load/LoadCommand.ts
+++ b/src/load/LoadCommand.ts
@@ -6,6 +6,7 @@
 import { renderReport, runBench } from './bench/BenchCommand.js';
 import { runDemo } from './demo/Demo.js';
 import { DEPLOYMENTS } from './deployment/Deployments.js';
+import { addMeasure } from './measure/MeasureCommand.js';
 import { NaiveServer } from './naive/NaiveServer.js';
 import { NaiveSettings } from './naive/NaiveSettings.js';
 import { PROOFS } from './prove/Proofs.js';
@@ -33,7 +34,7 @@
     .usage('$0 COMMAND: starts whole clusters on this machine and measures them')
     .version(version())
     .strict()
-    .demandCommand(1, 1, 'expected a command: demo, prove, bench or naive')
+    .demandCommand(1, 1, 'expected a command: demo, prove, bench, measure or naive')
     .exitProcess(false)
     .fail((message, error) => {
       throw error ?? new ArgumentError(message);
@@ -143,7 +144,7 @@
   );
 }
 
-const COMMANDS: readonly CommandAdder[] = [addDemo, addProve, addBench, addNaive];
+const COMMANDS: readonly CommandAdder[] = [addDemo, addProve, addBench, addMeasure, addNaive];
 
 function print(line: string): void {
   process.stdout.write(`${line}\n`);
--- /dev/null
+++ b/src/load/measure/ConfigurationLog.ts
@@ -0,0 +1,90 @@
+/** Long configuration logs, written straight to the table service. */
+import {
+  CONFIGURATION_HEAD_KEY,
+  CONFIGURATION_TABLE,
+  Account,
+  Template,
+  changeKey,
+  type Change,
+  type ChangeSubject,
+} from '../../common/protocol/Configuration.js';
+import { sha256 } from '../../common/Digest.js';
+import { commit, scanTable } from '../client/TableReader.js';
+
+/** Rows of one transaction. */
+const BATCH_ROWS = 500;
+
+/**
+ * @param name - name of the account
+ * @param templates - templates that it may use
+ * @returns change that publishes an account
+ */
+export function accountSubject(name: string, templates: readonly string[]): ChangeSubject {
+  const entitlements = templates.map((template) => [template, { deadlineMs: 6000 }] as const);
+  return {
+    kind: 'account',
+    value: Account.parse({
+      id: name,
+      tokenDigest: sha256(name),
+      templates: Object.fromEntries(entitlements),
+    }),
+  };
+}
+
+/**
+ * @param name - name of the template
+ * @param stages - number of stages
+ * @returns change that publishes a template
+ */
+export function templateSubject(name: string, stages: number): ChangeSubject {
+  const list = Array.from({ length: stages }, (_unused, position) => ({
+    name: `stage-${position}`,
+    kind: 'call',
+    pool: 'desk',
+    operation: 'orders',
+    input: { body: '$request.details', note: `literal text of stage ${position}` },
+  }));
+  return { kind: 'template', value: Template.parse({ name, stages: list }) };
+}
+
+/**
+ * Appends changes to the log.
+ * @param tableAddress - `ip:port` of the table service
+ * @param subjects - what the changes publish, in order
+ * @returns revision afterwards
+ * @throws Error if the table service refuses a transaction
+ */
+export async function appendChanges(
+  tableAddress: string,
+  subjects: readonly ChangeSubject[],
+): Promise<number> {
+  let [head] = await scanTable(tableAddress, CONFIGURATION_TABLE, CONFIGURATION_HEAD_KEY);
+  let { revision } = (head?.value as { revision: number } | undefined) ?? { revision: 0 };
+  for (let first = 0; first < subjects.length; first += BATCH_ROWS) {
+    const changes = changesAfter(revision, subjects.slice(first, first + BATCH_ROWS));
+    revision += changes.length;
+    const address = { table: CONFIGURATION_TABLE, key: CONFIGURATION_HEAD_KEY };
+    const writes = [
+      { ...address, value: { revision } },
+      ...changes.map((change) => ({
+        table: CONFIGURATION_TABLE,
+        key: changeKey(change.revision),
+        value: change,
+      })),
+    ];
+    const checks = [{ ...address, version: head?.version ?? 0 }];
+    if (!(await commit(tableAddress, { checks, writes }))) throw new Error('commit refused');
+    head = { key: CONFIGURATION_HEAD_KEY, version: (head?.version ?? 0) + 1, value: null };
+  }
+  return revision;
+}
+
+function changesAfter(after: number, subjects: readonly ChangeSubject[]): Change[] {
+  return subjects.map((subject, position) => ({
+    revision: after + position + 1,
+    changeId: `measured-${after + position + 1}`,
+    author: 'measure',
+    at: Date.now(),
+    subject,
+  }));
+}
--- /dev/null
+++ b/src/load/measure/Line.ts
@@ -0,0 +1,44 @@
+/** Least squares. */
+import type { Line, Point, Result, Series } from './Types.js';
+
+/**
+ * Fits a straight line.
+ * @param points - pairs of x and y, at least two with different x
+ * @returns line with the least sum of squared distances
+ */
+export function fitLine(points: readonly { x: number; y: number }[]): Line {
+  const meanX = mean(points.map(({ x }) => x));
+  const meanY = mean(points.map(({ y }) => y));
+  const covariance = mean(points.map(({ x, y }) => (x - meanX) * (y - meanY)));
+  const variance = mean(points.map(({ x }) => (x - meanX) ** 2));
+  const slope = variance === 0 ? 0 : covariance / variance;
+  return { base: meanY - slope * meanX, slope };
+}
+
+/**
+ * @param series - measured points
+ * @returns the series with a line for every value that all points have
+ */
+export function withLines(series: Series): Result {
+  const names = Object.keys(series.points[0]?.values ?? {});
+  const lines = names.map((name) => [name, fitLine(pairs(series.points, name))] as const);
+  return { ...series, lines: Object.fromEntries(lines) };
+}
+
+/**
+ * @param values - at least one number
+ * @param share - quantile, 0 to 1
+ * @returns value at the quantile
+ */
+export function quantile(values: readonly number[], share: number): number {
+  const sorted = [...values].sort((left, right) => left - right);
+  return sorted[Math.min(sorted.length - 1, Math.floor(share * sorted.length))] ?? 0;
+}
+
+function pairs(points: readonly Point[], name: string): { x: number; y: number }[] {
+  return points.map(({ x, values }) => ({ x, y: values[name] ?? 0 }));
+}
+
+function mean(values: readonly number[]): number {
+  return values.reduce((sum, value) => sum + value, 0) / values.length;
+}
--- /dev/null
+++ b/src/load/measure/MeasuredDeployment.ts
@@ -0,0 +1,91 @@
+/** The deployment that measurements run against: fast backend stand-ins, so that our own cost shows. */
+import { Template } from '../../common/protocol/Configuration.js';
+import type { BackendKind, Deployment, Pool, TemplateTraffic } from '../deployment/Types.js';
+import { MODEL } from '../deployment/Templates.js';
+
+const SLOTS = 128;
+const TOKEN_MS = 10;
+const SERVICE_MS = 2;
+const DEADLINE_MS = 30_000;
+
+/** Positions of the templates in the deployment's traffic. */
+export const THREE_STAGES = 0;
+export const FIVE_STAGES = 1;
+export const NON_IDEMPOTENT_CALL = 2;
+export const SHORT_GENERATION = 3;
+/** Position of the first of the templates for {@link GENERATED_TOKENS}. */
+export const FIRST_GENERATION = 4;
+
+/** Tokens that the generate templates ask for. */
+export const GENERATED_TOKENS = [50, 150, 300] as const;
+
+const encode = {
+  name: 'encode',
+  kind: 'encode',
+  pool: 'encoders',
+  model: 'embedder',
+  input: { text: '$request.question' },
+};
+const retrieve = {
+  name: 'retrieve',
+  kind: 'retrieve',
+  pool: 'retrievers',
+  input: { vector: '$encode.vector', limit: 8 },
+};
+const rerank = {
+  name: 'rerank',
+  kind: 'rerank',
+  pool: 'rerankers',
+  model: 'ranker',
+  input: { query: '$request.question', documents: '$retrieve.documents', limit: 3 },
+};
+
+function generate(maxTokens: number): Record<string, unknown> {
+  const input = { prompt: '$request.question', maxTokens };
+  return { name: 'generate', kind: 'generate', pool: 'engines', model: MODEL, input };
+}
+
+function call(name: string, idempotent: boolean): Record<string, unknown> {
+  const base = { name, kind: 'call', pool: 'desk', operation: 'orders', idempotent };
+  return { ...base, input: { body: '$request.details' } };
+}
+
+function pool(name: string, kind: BackendKind): Pool {
+  const base = { name, kind, servers: 1, slots: SLOTS, serviceMs: SERVICE_MS };
+  return { ...base, reportsLoad: false, ...(kind === 'engine' && { tokenMs: TOKEN_MS }) };
+}
+
+function traffic(name: string, stages: unknown[], streamed: boolean): TemplateTraffic {
+  return {
+    template: Template.parse({ name, stages }),
+    deadlineMs: DEADLINE_MS,
+    part: 0,
+    streamed,
+    input: (token) => ({ question: `What does order ${token} need?`, details: { token } }),
+  };
+}
+
+/** @returns five pools of one server each, one account, and the templates named above. */
+export function measuredDeployment(): Deployment {
+  return {
+    name: 'measured',
+    region: 'region-a',
+    failureDomains: ['domain-a'],
+    entries: 1,
+    pools: [
+      pool('encoders', 'encoder'),
+      pool('retrievers', 'retriever'),
+      pool('rerankers', 'reranker'),
+      pool('engines', 'engine'),
+      pool('desk', 'plain'),
+    ],
+    accounts: [{ id: 'measured', token: 'measured-account-token', share: 1, priority: 5 }],
+    traffic: [
+      traffic('three-stages', [encode, retrieve, rerank], false),
+      traffic('five-stages', [call('lookup', true), encode, retrieve, rerank, generate(1)], false),
+      traffic('deposit', [call('record', false)], false),
+      traffic('short', [generate(1)], true),
+      ...GENERATED_TOKENS.map((tokens) => traffic(`tokens-${tokens}`, [generate(tokens)], true)),
+    ],
+  };
+}
