--- a/src/agent/AgentProcess.test.ts
+++ b/src/agent/AgentProcess.test.ts
@@ -62,6 +62,23 @@
   await acknowledge(attempt.attemptId);
 });
 
+test('only the request that started an attempt is charged (a join must not double the bill)', async () => {
+  const first = createAttempt({ idempotencyKey: 'charge' });
+  const frames = await Promise.all([
+    agent.submit(first),
+    agent.submit({ ...first, requestId: 'another-request' }),
+  ]);
+  const replayed = frames.map((list) => {
+    const last = list.at(-1)!;
+    return [last.type === 'result' && last.requestId, last.type === 'result' && last.replayed];
+  });
+  assert.deepEqual(replayed, [
+    [first.requestId, false],
+    ['another-request', true],
+  ]);
+  await acknowledge(first.attemptId);
+});
+
 test('another attempt with a finished key replays the result (a retry must not pay twice)', async () => {
   const first = createAttempt({ idempotent: false, idempotencyKey: 'replay' });
   const [ran] = (await agent.submit(first)).slice(-1);
--- a/src/agent/FrameStream.ts
+++ b/src/agent/FrameStream.ts
@@ -91,7 +91,16 @@
   private finalFrame(outcome: Outcome): Body {
     if (outcome.type !== 'result') return outcome;
     const { requestId, account, stage } = this.attempt;
-    return { ...outcome, requestId, account, stage, chunks: this.stream.chunks.length };
+    // A request that joined the attempt of another one gets a result that is counted already.
+    const isJoined = this.stream.requestId !== undefined && this.stream.requestId !== requestId;
+    return {
+      ...outcome,
+      requestId,
+      account,
+      stage,
+      chunks: this.stream.chunks.length,
+      replayed: outcome.replayed || isJoined,
+    };
   }
 
   private write(body: Body): void {
--- a/src/cli/Cli.ts
+++ b/src/cli/Cli.ts
@@ -94,7 +94,12 @@
   return program
     .option('config', { type: 'string', describe: 'Settings file (JSON with comments)' })
     .option('check', { type: 'boolean', describe: 'Check settings and arguments, then exit' })
-    .option('entry', { type: 'string', array: true, describe: 'Base URL of an entry' })
+    .option('entry', {
+      type: 'string',
+      array: true,
+      nargs: 1,
+      describe: 'Base URL of an entry; may be given several times',
+    })
     .option('token-file', {
       type: 'string',
       describe: `File with the operator's token; else ${TOKEN_VARIABLE} is read`,
--- a/src/common/gate/AttemptStream.ts
+++ b/src/common/gate/AttemptStream.ts
@@ -12,6 +12,9 @@
 
   private ending: Outcome | null = null;
 
+  /** @param requestId - request that started the attempt; undefined if it was not started here */
+  constructor(readonly requestId?: string) {}
+
   /** @returns how the attempt ended; null while it goes on. */
   get outcome(): Outcome | null {
     return this.ending;
--- a/src/common/gate/Gate.test.ts
+++ b/src/common/gate/Gate.test.ts
@@ -195,6 +195,15 @@
   assert.equal(again.outcome?.type, 'failed', 'a late copy starts no second run');
 });
 
+test('a voided attempt stays refused for minutes (a copy delayed in the network must not run)', () => {
+  const { gate, clock } = createFixture();
+  const attempt = createAttempt();
+  assert.equal(gate.voidAttempt(attempt.attemptId), 'voided');
+  clock.time += 16 * 60_000;
+  gate.expireRetained();
+  assert.equal(reasonOf(gate.submit(attempt, 'digest', false)), 'voided');
+});
+
 test('another input under a known attempt id is refused (results must not be mixed up)', () => {
   const { submit, gate } = createFixture();
   const { attempt } = submit();
--- a/src/common/gate/Gate.ts
+++ b/src/common/gate/Gate.ts
@@ -33,6 +33,12 @@
  */
 const NON_IDEMPOTENT_GRACE_MS = 30_000;
 
+/**
+ * An attempt that was voided or refused must not run if a delayed copy arrives. Linux sends data of a
+ * closed connection again for about 100 s, and for up to 16 minutes if the connection was not closed.
+ */
+const VOIDED_RETENTION_MS = 20 * 60_000;
+
 /**
  * States of all attempts of one backend server. Does no I/O: methods change state, and
  * {@link Gate.takeEffects} gives what the owner has to do. All calls come from one actor.
@@ -56,7 +62,7 @@
     private readonly options: GateOptions,
     private readonly clock: Clock,
   ) {
-    this.retired = new RetiredAttempts(clock, options.retentionMs);
+    this.retired = new RetiredAttempts(clock, options.retentionMs, VOIDED_RETENTION_MS);
     this.schedule = new Schedule(options.slots, clock);
   }
 
--- a/src/common/gate/GateEntry.ts
+++ b/src/common/gate/GateEntry.ts
@@ -4,7 +4,7 @@
 
 /** One attempt that the gate knows. Times are monotonic milliseconds; null until reached. */
 export class GateEntry {
-  readonly stream = new AttemptStream();
+  readonly stream: AttemptStream;
 
   state: AttemptState = 'waiting';
 
@@ -42,6 +42,7 @@
     readonly expectedMs: number,
   ) {
     this.deadline = receivedAt + attempt.remainingMs;
+    this.stream = new AttemptStream(attempt.requestId);
   }
 
   get id(): string {
--- a/src/entry/AttemptStream.ts
+++ b/src/entry/AttemptStream.ts
@@ -167,8 +167,7 @@
     this.services.onNotice(this.order.address, frame.notice);
     if (frame.type === 'accepted' || frame.type === 'heartbeat') return null;
     if (frame.type === 'result') {
-      // A replayed result has no stream, so only a running stream can have a gap.
-      if (!frame.replayed && frame.chunks > this.nextOffset) {
+      if (frame.chunks > this.nextOffset) {
         return { kind: 'broken', message: 'chunks are missing' };
       }
       return { kind: 'final', end: { kind: 'result', frame } };
--- a/src/load/measure/Rig.ts
+++ b/src/load/measure/Rig.ts
@@ -186,7 +186,7 @@
       objectUrl: `http://${objects}`,
       membershipUrl: `http://${membership}`,
     };
-    const platform = platformServices({ table, objects, membership }).map((service) =>
+    const platform = platformServices({ table, objects, membership }, []).map((service) =>
       service.kind === 'table' ? { ...service, ...this.options.table } : service,
     );
     await this.startStandin('platform', platform);
