Compare the pipeline executor with a naive sequential one

80 random templates and inputs (fast-check, fixed seed) run through an entry and three fake agents that delay, reorder, duplicate and truncate frames, break connections and send results of other attempts; some attempts' first two connections carry nothing. The answers and streams must equal those of a naive executor, and no claimed stage may run twice.

--- /dev/null
+++ b/src/entry/Differential.test.ts
@@ -0,0 +1,221 @@
+import assert from 'node:assert/strict';
+import type { ServerResponse } from 'node:http';
+import { after, before, test } from 'node:test';
+import fc from 'fast-check';
+import type { Attempt } from '../common/protocol/Attempt.js';
+import type { Claim } from '../common/protocol/Claim.js';
+import { Template } from '../common/protocol/Configuration.js';
+import { SeededRandom } from '../common/time/SeededRandom.js';
+import { FakeAgent, type Behaviour, type LineWriter } from './testing/FakeAgent.js';
+import { errorOf, startEntry, TOKEN, type TestEntry } from './testing/fixtures.js';
+
+const SEED = 20_261_204;
+const REQUESTS = 80;
+const DAMAGED_SHARE = 0.12;
+const PIECE = /.{1,7}/gs;
+
+type Json = Record<string, unknown>;
+
+/** What every fake backend server computes; a pure function, so that both executors can be compared. */
+const compute = (stage: string, kind: string, input: unknown): Json =>
+  kind === 'generate'
+    ? { text: `${stage} says ${JSON.stringify(input)}`, length: JSON.stringify(input).length }
+    : { out: input, by: { stage } };
+
+/** The naive executor: one stage after another, no failures. */
+const runNaively = (template: Template, input: Json): unknown => {
+  const known: Json = { request: input };
+  let output: unknown;
+  for (const stage of template.stages) {
+    const resolved: Json = {};
+    for (const [field, value] of Object.entries(stage.input)) {
+      let found: unknown = value;
+      if (typeof value === 'string' && value.startsWith('$')) {
+        found = known;
+        for (const part of value.slice(1).split('.')) {
+          found = Object(found) === found ? (found as Json)[part] : undefined;
+        }
+      }
+      if (found !== undefined) resolved[field] = found;
+    }
+    output = compute(stage.name, stage.kind, resolved);
+    known[stage.name] = output;
+  }
+  return output;
+};
+
+const random = new SeededRandom(SEED);
+
+/** Result of an earlier attempt. */
+let resultOfAnother = '';
+
+/** Ways to spoil a line; each is chosen equally often. */
+const DAMAGES: readonly LineWriter[] = [
+  // Late, and so behind later lines; lost if the stream ends before.
+  (line, response) => {
+    setTimeout(() => write(response, line), 5);
+  },
+  (line, response) => {
+    write(response, line);
+    write(response, line);
+  },
+  (line, response) => {
+    write(response, line.slice(0, line.length / 2));
+    response.destroy();
+  },
+  (_line, response) => response.destroy(),
+  (_line, response) => write(response, resultOfAnother),
+  // Has the right length and fails the digest.
+  (line, response) =>
+    write(response, line.replace('says', 'lies').replace('\\"out\\"', '\\"tuo\\"')),
+];
+
+function write(response: ServerResponse, line: string): void {
+  if (!response.writableEnded && !response.destroyed) response.write(line);
+}
+
+/** Connections of each attempt. */
+const connections = new Map<string, number>();
+
+/** The first two connections of some attempts carry nothing, so the entry tries another agent. */
+const isCut = (attemptId: string, type: string) => {
+  if (type !== 'accepted' || !/^[01]/.test(attemptId)) return false;
+  connections.set(attemptId, (connections.get(attemptId) ?? 0) + 1);
+  return connections.get(attemptId)! <= 2;
+};
+
+const damage: LineWriter = (line, response, type) => {
+  if (isCut((JSON.parse(line) as Attempt).attemptId, type)) {
+    response.destroy();
+    return;
+  }
+  if (random.next() >= DAMAGED_SHARE) {
+    write(response, line);
+    return;
+  }
+  // The text of a chunk has no digest, so only its place in the stream is damaged.
+  const count = type === 'chunk' ? DAMAGES.length - 1 : DAMAGES.length;
+  DAMAGES[Math.floor(random.next() * count)]!(line, response, type);
+  if (type === 'result') resultOfAnother = line;
+};
+
+const claims = new Map<string, Claim>();
+const agents = ['a', 'b', 'c'].map((id) => new FakeAgent(id, () => ({ kind: 'run', output: 0 })));
+let started: TestEntry;
+
+const behaveAs =
+  (agent: FakeAgent) =>
+  (attempt: Attempt): Behaviour => {
+    if (!attempt.idempotent) {
+      const key = `${attempt.idempotencyKey}/${attempt.stage}`;
+      const claim = claims.get(key);
+      const isReplaced = attempt.replacesClaim?.attemptId === claim?.attemptId;
+      if (claim && !isReplaced) return { kind: 'refuse', reason: 'claimed', claim };
+      const { attemptId, requestId } = attempt;
+      const { address, incarnation } = agent;
+      const holder = { attemptId, agentId: agent.id, incarnation, address, requestId };
+      claims.set(key, { ...holder, state: 'claimed', inputDigest: '' });
+    }
+    const output = compute(attempt.stage, attempt.kind, attempt.input);
+    const chunks = typeof output.text === 'string' ? (output.text.match(PIECE) ?? []) : [];
+    return { kind: 'run', output, chunks, delayMs: 1 + Math.floor(random.next() * 4) };
+  };
+
+before(async () => {
+  for (const agent of agents) {
+    agent.behave = behaveAs(agent);
+    agent.writeLine = damage;
+    await agent.listen();
+  }
+  started = await startEntry({ agents, templates: [], policy: { retryBudget: 1 } });
+});
+after(async () => {
+  await started.stop();
+  for (const agent of agents) await agent.close();
+});
+
+const reference = (position: number) =>
+  fc.oneof(
+    fc.constantFrom('$request.a', '$request.b.c', '$request.absent', '$request'),
+    fc.nat(Math.max(0, position - 1)).map((earlier) => `$s${earlier}.text`),
+    fc.nat(Math.max(0, position - 1)).map((earlier) => `$s${earlier}.out`),
+    fc.nat(Math.max(0, position - 1)).map((earlier) => `$s${earlier}.by.stage`),
+    fc.constantFrom<unknown>('literal', 7, { deep: ['$not-a-reference'] }),
+  );
+
+const stageAt = (position: number) =>
+  fc.record({
+    name: fc.constant(`s${position}`),
+    kind: fc.constantFrom('call', 'generate'),
+    pool: fc.constant('pool'),
+    operation: fc.constant('work'),
+    idempotent: fc.boolean(),
+    input: fc.record({ prompt: reference(position), more: reference(position) }),
+  });
+
+const templates = fc
+  .integer({ min: 1, max: 5 })
+  .chain((count) => fc.tuple(...Array.from({ length: count }, (_, position) => stageAt(position))))
+  .map((stages) =>
+    Template.parse({
+      name: 'random',
+      stages: stages.map((stage) => ({
+        ...stage,
+        idempotent: stage.idempotent || stage.kind !== 'call',
+      })),
+    }),
+  );
+
+const inputs = fc.record({
+  a: fc.string({ unit: 'grapheme', maxLength: 40 }),
+  b: fc.record({ c: fc.oneof(fc.integer(), fc.array(fc.string(), { maxLength: 4 })) }),
+});
+
+const send = async (template: Template, input: Json, key: string) => {
+  const snapshot = started.configuration.snapshot();
+  (snapshot.templates as Map<string, Template>).set('random', template);
+  snapshot.accounts.get('alba')!.templates.random = { deadlineMs: 5000 };
+  const response = await fetch(`${started.url}/v1/pipelines/random/requests`, {
+    method: 'POST',
+    headers: {
+      authorization: `Bearer ${TOKEN}`,
+      'idempotency-key': key,
+      accept: 'text/event-stream',
+    },
+    body: JSON.stringify({ input }),
+  });
+  const events = (await response.text()).split('\n\n').filter(Boolean);
+  return events.map((event) => ({
+    name: /^event: (.*)$/m.exec(event)![1]!,
+    data: JSON.parse(/^data: (.*)$/m.exec(event)![1]!) as Json,
+  }));
+};
+
+test('damaged streams change nothing: whole own answers, no run of a claimed stage twice', async () => {
+  let served = 0;
+  let sent = 0;
+  const property = fc.asyncProperty(templates, inputs, async (template, input) => {
+    sent += 1;
+    const key = `key-${sent}`;
+    const events = await send(template, input, key);
+    const last = events.at(-1)!;
+    const runs = agents.flatMap((agent) => agent.runs).filter((run) => run.idempotencyKey === key);
+    const claimed = runs.filter((run) => !run.idempotent).map((run) => run.stage);
+    assert.equal(new Set(claimed).size, claimed.length, 'a non-idempotent stage ran twice');
+    const chunks = events.filter(({ name }) => name === 'chunk').map(({ data }) => data);
+    assert.ok(chunks.every((chunk, position) => chunk.offset === position));
+    if (last.name === 'error') {
+      const { outcome } = errorOf(last.data);
+      if (outcome === 'not-run') assert.equal(runs.length, 0);
+      if (outcome === 'ran') assert.ok(runs.length > 0);
+      return;
+    }
+    served += 1;
+    const expected = runNaively(template, JSON.parse(JSON.stringify(input)) as Json);
+    assert.deepEqual(last.data.output, expected);
+    const { text } = expected as { text?: string };
+    if (text) assert.equal(chunks.map((chunk) => chunk.text).join(''), text);
+  });
+  await fc.assert(property, { seed: SEED, numRuns: REQUESTS, endOnFailure: true });
+  assert.ok(served > REQUESTS / 2, `only ${served} of ${sent} were served`);
+});
