--- a/src/load/prove/Drain.ts
+++ b/src/load/prove/Drain.ts
@@ -11,8 +11,11 @@
 const DRAIN_BOUND_MS = 3000;
 
 const MEMBERSHIP_LAG_MS = 30_000;
-const REQUESTS_PER_SECOND = 15;
-const WARM_UP_MS = 1500;
+
+/** One engine alone must be able to serve it, so that no request may fail because of the drain. */
+const REQUESTS_PER_SECOND = 5;
+
+const WARM_UP_MS = 3000;
 
 /** The store is down here; only idempotent templates can be served. */
 const TEMPLATES = ['stitch-plan', 'floor-question', 'order-status'];
@@ -32,7 +35,7 @@
   await cluster.table.setFaults({ outage: true });
   const drained: { server: BackendServer; at: number; status: number }[] = [];
   for (const pool of POOLS) {
-    const server = cluster.serversOf(pool)[0]!;
+    const server = await busiest(cluster, pool);
     const entry = cluster.entries[drained.length % cluster.entries.length]!;
     const at = Date.now();
     const answer = cluster.naive
@@ -60,6 +63,15 @@
   };
 }
 
+async function busiest(cluster: Cluster, pool: string): Promise<BackendServer> {
+  const counted = cluster.serversOf(pool).map(async (server) => {
+    const { length } = await server.control.runs();
+    return { server, length };
+  });
+  const servers = await Promise.all(counted);
+  return servers.sort((left, right) => right.length - left.length)[0]!.server;
+}
+
 function leaving(
   cluster: Cluster,
   servers: readonly BackendServer[],
