Report cost by account, template and stage

CostBook merges the rows of agents and entries. For each agent incarnation, account, template and stage it takes the side that counted more attempts, with that side's own split into months and classes. Taking the greater value of each class was ruled out: an entry counts a result as useful when it arrives, the agent when it is acknowledged, so a hedge that lost would be counted once in each class.

LedgerWriter fills it; callers change nothing. Rows now hold 75 counters instead of 200, because a counter with 31 days is up to 850 bytes.

cost prints a table, CSV, JSON or an HTML page with plots drawn as SVG; a price list in JSON with comments turns usage into amounts.

--- a/src/cli/Cli.test.ts
+++ b/src/cli/Cli.test.ts
@@ -8,6 +8,7 @@
   OPERATOR_TOKEN,
   type OperatorFixture,
 } from '../entry/operator/testing/OperatorFixture.js';
+import { LEDGER_TABLE, ledgerKey, type LedgerRow } from '../common/protocol/Ledger.js';
 import { runCli } from './Cli.js';
 
 const TEMPLATE = `{
@@ -121,3 +122,32 @@
   assert.equal((await run('template', 'publish')).code, 2);
   assert.equal((await run('nonsense')).code, 2);
 });
+
+test('cost shows both counts of the ledger, as table, CSV, JSON and page without network', async () => {
+  const work = { agentId: 'a1', agentIncarnation: 'i1', account: 'acme', template: 'plan' };
+  const entry = (attempts: number) => ({
+    ...work,
+    month: '2026-03',
+    stage: 'draft',
+    class: 'useful' as const,
+    usage: { acceleratorMs: attempts * 500, tokensIn: attempts, tokensOut: 0, calls: attempts },
+    attempts,
+  });
+  for (const [writer, attempts] of [['agent', 8] as const, ['entry', 10] as const]) {
+    const row: LedgerRow = {
+      ...{ writer, writerId: 'w', incarnation: 'i', sequence: 1 },
+      entries: [entry(attempts)],
+    };
+    const address = { table: LEDGER_TABLE, key: `${ledgerKey(row)}/2026-03/0` };
+    fixture.store.table.transaction({ checks: [], writes: [{ ...address, value: row }] });
+  }
+  const prices = await file('prices.jsonc', '{ "currency": "EUR", "standard": { "call": 2 } }');
+  const csv = await run('cost', '--month', '2026-03', '--format', 'csv', '--prices', prices);
+  assert.match(csv.out, /AMOUNT \(EUR\)\n2026-03,acme,plan,draft,10,10,0,5,0,4,5,20$/);
+  assert.match((await run('cost')).out, /acme +plan +draft +10 /);
+  assert.equal(JSON.parse((await run('cost', '--json')).out).lines[0].amount, 5);
+  const page = (await run('cost', '--format', 'html')).out;
+  assert.match(page, /<svg/);
+  assert.doesNotMatch(page, /<script|src=|href="http/);
+  assert.equal((await run('cost', '--month', 'March')).code, 1);
+});
--- a/src/cli/CommandTable.ts
+++ b/src/cli/CommandTable.ts
@@ -3,6 +3,8 @@
 import { changeFromFile, changeSubject, type FileKind } from './commands/ChangeConfiguration.js';
 import { drainServer } from './commands/DrainServer.js';
 import { listConfiguration } from './queries/ListConfiguration.js';
+import { showCost } from './queries/ShowCost.js';
+import { REPORT_FORMATS, type ReportFormat } from './Report.js';
 import { explainRequest, showStatus } from './queries/ShowStatus.js';
 import type { CliContext, CliResult } from './Types.js';
 
@@ -12,6 +14,8 @@
 /** Takes the command that the arguments name. */
 export type Choose = (task: Task) => void;
 
+const DEFAULT_FORMAT: ReportFormat = 'table';
+
 const FILE_KINDS: readonly FileKind[] = ['template', 'account'];
 
 /**
@@ -91,10 +95,24 @@
   );
 }
 
+function reportOptions<T>(program: Argv<T>) {
+  return program
+    .option('format', { choices: REPORT_FORMATS, default: DEFAULT_FORMAT })
+    .option('output', { type: 'string', describe: 'File to write instead of standard output' })
+    .option('prices', { type: 'string', describe: 'Price list (JSON with comments)' });
+}
+
 function addQueries(program: Argv, choose: Choose): Argv {
+  const withCost = (inner: Argv) =>
+    reportOptions(inner)
+      .option('account', { type: 'string', describe: 'Client account; all by default' })
+      .option('month', { type: 'string', describe: 'YYYY-MM; all by default' });
   const withRequest = (inner: Argv) =>
     inner.positional('request-id', { type: 'string', demandOption: true });
   return program
+    .command('cost', 'Show what each stage cost each client account', withCost, (words) =>
+      choose((context) => showCost(context, words)),
+    )
     .command('status', 'Show entries and agents', {}, () => choose(showStatus))
     .command('revision', 'Show the revision in force', {}, () =>
       choose((context) => listConfiguration(context, 'revision')),
--- a/src/common/ledger/LedgerBook.ts
+++ b/src/common/ledger/LedgerBook.ts
@@ -1,8 +1,8 @@
-import type { LedgerEntry } from '../protocol/Ledger.js';
+import type { LedgerDays, LedgerEntry } from '../protocol/Ledger.js';
 import { addUsage } from '../protocol/Usage.js';
 
-/** Entries of one row. At about 280 bytes an entry, a row stays below 64 KB. */
-const ENTRIES_PER_PART = 200;
+/** Entries of one row. At up to 850 bytes an entry with all days, a row stays below 64 KB. */
+const ENTRIES_PER_PART = 75;
 
 /** Entries of one month that are written together as one row. */
 export interface LedgerPart {
@@ -48,13 +48,7 @@
     const key = counterKey(delta);
     const part = this.partOfKey.get(key) ?? this.openPart(delta.month, key);
     const known = part.entries.get(key);
-    const next = known
-      ? {
-          ...known,
-          usage: addUsage(known.usage, delta.usage),
-          attempts: known.attempts + delta.attempts,
-        }
-      : { ...delta };
+    const next = known ? addEntries(known, delta) : { ...delta };
     part.entries.set(key, next);
     part.sequence += 1;
   }
@@ -119,7 +113,30 @@
 }
 
 /**
- * @param wallTimeMs - wall-clock milliseconds since 1970-01-01 UTC
+ * @param left - counter
+ * @param right - counter of the same work
+ * @returns sum, with the names of the left one
+ */
+export function addEntries(left: LedgerEntry, right: LedgerEntry): LedgerEntry {
+  return {
+    ...left,
+    usage: addUsage(left.usage, right.usage),
+    attempts: left.attempts + right.attempts,
+    days: addDays(left.days ?? {}, right.days ?? {}),
+  };
+}
+
+function addDays(left: LedgerDays, right: LedgerDays): LedgerDays {
+  const sum = { ...left };
+  for (const [day, [attempts, acceleratorMs]] of Object.entries(right)) {
+    const [knownAttempts, knownMs] = sum[day] ?? [0, 0];
+    sum[day] = [knownAttempts + attempts, knownMs + acceleratorMs];
+  }
+  return sum;
+}
+
+/**
+ * @param wallTimeMs - wall-clock - wall-clock milliseconds since 1970-01-01 UTC
  * @returns calendar month in UTC, `YYYY-MM`
  */
 export function monthOf(wallTimeMs: number): string {
--- a/src/common/protocol/Ledger.ts
+++ b/src/common/protocol/Ledger.ts
@@ -16,9 +16,19 @@
   class: UsageClass,
   usage: Usage,
   attempts: z.number().int().nonnegative(),
+  /** By day of the month, `DD`: attempts and accelerator milliseconds, for volumes and forecasts. */
+  days: z
+    .record(
+      z.string().regex(/^\d{2}$/),
+      z.tuple([z.number().int().nonnegative(), z.number().nonnegative()]),
+    )
+    .optional(),
 });
 export type LedgerEntry = z.infer<typeof LedgerEntry>;
 
+/** Attempts and accelerator milliseconds by day of the month. */
+export type LedgerDays = NonNullable<LedgerEntry['days']>;
+
 /** Whole row of one writer. Writing it again is harmless; a lower sequence number never replaces a higher. */
 export const LedgerRow = z.object({
   writer: z.enum(['agent', 'entry']),
--- /dev/null
+++ b/src/ledger/LedgerReader.ts
@@ -0,0 +1,28 @@
+/** Reads the ledger for reports. */
+import { CostBook } from '../common/ledger/CostBook.js';
+import { LEDGER_TABLE, LedgerRow } from '../common/protocol/Ledger.js';
+import type { PlatformResult, TableStore } from '../platform/Types.js';
+
+/** Rows of one scan; at up to 64 KB a row, an answer stays below 3.2 MB. */
+const PAGE_ROWS = 50;
+const SCAN_TIMEOUT_MS = 5000;
+
+/**
+ * Reads all rows, page by page in the order of their keys, so that each row is counted once.
+ * @param store - table service
+ * @returns costs, or the error of the store
+ */
+export async function readLedger(store: TableStore): Promise<PlatformResult<CostBook>> {
+  const book = new CostBook();
+  let after: string | undefined;
+  for (;;) {
+    const range = { table: LEDGER_TABLE, prefix: '', limit: PAGE_ROWS };
+    const page = await store.scan(after === undefined ? range : { ...range, after }, {
+      timeoutMs: SCAN_TIMEOUT_MS,
+    });
+    if (!page.ok) return page;
+    for (const row of page.value) book.add(LedgerRow.parse(row.value));
+    if (page.value.length < PAGE_ROWS) return { ok: true, value: book };
+    after = page.value.at(-1)!.key;
+  }
+}
--- a/src/ledger/LedgerWriter.ts
+++ b/src/ledger/LedgerWriter.ts
@@ -15,7 +15,7 @@
 const PARTS_PER_FLUSH = 16;
 
 /** Usage to record. Without `month` the current one is taken; without `attempts` it counts as one. */
-export type UsageRecord = Omit<LedgerEntry, 'month' | 'attempts'> &
+export type UsageRecord = Omit<LedgerEntry, 'month' | 'attempts' | 'days'> &
   Partial<Pick<LedgerEntry, 'month' | 'attempts'>>;
 
 /** Options of {@link LedgerWriter}. */
@@ -63,8 +63,13 @@
    * @param usage - what was used, by whom and where
    */
   record(usage: UsageRecord): void {
-    const month = usage.month ?? monthOf(this.options.clock.wallTime());
-    this.book.add({ ...usage, month, attempts: usage.attempts ?? 1 });
+    const date = new Date(this.options.clock.wallTime()).toISOString();
+    const month = usage.month ?? date.slice(0, 'YYYY-MM'.length);
+    const attempts = usage.attempts ?? 1;
+    const day = date.slice('YYYY-MM-'.length, 'YYYY-MM-DD'.length);
+    // Rounded, because fractions would double the size of a row and no report needs them.
+    const days = { [day]: [attempts, Math.round(usage.usage.acceleratorMs)] as [number, number] };
+    this.book.add({ ...usage, month, attempts, days });
   }
 
   /**
