--- /dev/null
+++ b/src/load/prove/Drain.test.ts
@@ -0,0 +1,11 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { prove } from './ProveCommand.js';
+
+// Guards against a drain that only works once the store or the membership list is healthy.
+test('a drained server gets no new work after 3 s while store and list are down', async () => {
+  const options = { promise: 'drain', seed: 1, seconds: 9, variant: 'current' } as const;
+  const { report, passed } = await prove(options);
+  assert.deepEqual(report.examples, []);
+  assert.ok(passed, `every fault must have happened: ${JSON.stringify(report.faults)}`);
+});
