--- /dev/null
+++ b/src/entry/measure/entryProcess.ts
@@ -0,0 +1,71 @@
+/** Child process of the measurement: one entry. Answers questions about its own use of resources. */
+import { sha256 } from '../../common/Digest.js';
+import { Account, Template } from '../../common/protocol/Configuration.js';
+import { startEntry } from '../testing/fixtures.js';
+import { TEMPLATES } from './templates.js';
+
+/** Question of the parent process. */
+export type Question =
+  | { readonly type: 'start'; readonly agents: readonly { id: string; address: string }[] }
+  | { readonly type: 'usage' }
+  | { readonly type: 'grow'; readonly what: 'accounts' | 'templates' | 'servers'; count: number };
+
+/** Use of resources since the start of the process. */
+export interface ResourceUsage {
+  readonly cpuMs: number;
+  readonly rssBytes: number;
+  readonly heapBytes: number;
+}
+
+type Started = Awaited<ReturnType<typeof startEntry>>;
+const MICROSECONDS_PER_MS = 1000;
+let started: Started | null = null;
+
+function usage(): ResourceUsage {
+  globalThis.gc?.();
+  const { user, system } = process.cpuUsage();
+  const { rss, heapUsed } = process.memoryUsage();
+  return { cpuMs: (user + system) / MICROSECONDS_PER_MS, rssBytes: rss, heapBytes: heapUsed };
+}
+
+const GROW = {
+  accounts: (position: number) => {
+    const account = Account.parse({
+      id: `account-${position}`,
+      tokenDigest: sha256(`token-${position}`),
+      templates: Object.fromEntries(TEMPLATES.map(({ name }) => [name, { deadlineMs: 6000 }])),
+    });
+    const snapshot = started!.configuration.snapshot();
+    (snapshot.accounts as Map<string, Account>).set(account.id, account);
+    (snapshot.accountsByToken as Map<string, Account>).set(account.tokenDigest, account);
+  },
+  templates: (position: number) => {
+    const template = Template.parse({ ...TEMPLATES[1], name: `template-${position}` });
+    const snapshot = started!.configuration.snapshot();
+    (snapshot.templates as Map<string, Template>).set(template.name, template);
+  },
+  servers: (position: number) => started!.addServer(`server-${position}`),
+} as const;
+
+const answers = {
+  start: async ({ agents }: Extract<Question, { type: 'start' }>) => {
+    started = await startEntry({ agents, templates: TEMPLATES, ledgerKept: false });
+    return { url: started.url };
+  },
+  usage: async () => usage(),
+  grow: async ({ what, count }: Extract<Question, { type: 'grow' }>) => {
+    const before = usage().heapBytes;
+    for (let position = 0; position < count; position += 1) GROW[what](position);
+    await started!.refreshServers();
+    return { bytesEach: Math.round((usage().heapBytes - before) / count) };
+  },
+};
+
+process.on('message', (question: Question) => {
+  const answer = answers[question.type] as (q: Question) => Promise<unknown>;
+  answer(question).then(
+    (value) => process.send?.(value),
+    () => process.exit(1),
+  );
+});
+process.on('disconnect', () => process.exit(0));
--- a/src/entry/testing/FakeAgent.ts
+++ b/src/entry/testing/FakeAgent.ts
@@ -69,6 +69,8 @@
 
   private readonly held = new Map<string, Held>();
 
+  private kept = true;
+
   private readonly server: Server;
 
   private readonly router = createAgentRouter(this.createControl());
@@ -103,6 +105,11 @@
     });
   }
 
+  /** Keeps no attempts after their end and records nothing, for long measurements. */
+  keepNothing(): void {
+    this.kept = false;
+  }
+
   /** Forgets everything, as a restart of the process does. */
   restart(incarnation: string): void {
     this.incarnation = incarnation;
@@ -124,7 +131,7 @@
     let body = '';
     for await (const part of request) body += String(part);
     const attempt = JSON.parse(body) as Attempt;
-    this.received.push(attempt);
+    if (this.kept) this.received.push(attempt);
     this.stream(this.take(attempt), attempt.resumeFrom, response);
   }
 
@@ -161,7 +168,7 @@
   private execute(held: Held, behaviour: Extract<Behaviour, { kind: 'run' }>): void {
     if (held.state !== 'waiting') return;
     Object.assign(held, { state: 'running' });
-    this.runs.push(held.attempt);
+    if (this.kept) this.runs.push(held.attempt);
     held.chunks.push(...(behaviour.chunks ?? []));
     held.listeners.forEach((listener) => listener());
     after(behaviour.delayMs, () => {
@@ -171,6 +178,7 @@
 
   private finish(held: Held, state: Held['state'], final: Part): void {
     Object.assign(held, { state, final });
+    if (!this.kept) this.held.delete(held.attempt.attemptId);
     held.listeners.forEach((listener) => listener());
   }
 
@@ -236,7 +244,7 @@
         return this.voidWaiting(attemptId);
       },
       acknowledge: async (attempts) => {
-        this.acknowledged.push(...attempts);
+        if (this.kept) this.acknowledged.push(...attempts);
       },
       drain: unused,
       resume: unused,
--- a/src/entry/testing/fixtures.ts
+++ b/src/entry/testing/fixtures.ts
@@ -1,4 +1,5 @@
 /** Builds entries with fake surroundings for tests and measurements. */
+import { setTimeout as sleep } from 'node:timers/promises';
 import { sha256 } from '../../common/Digest.js';
 import { Emitter } from '../../common/events/Emitter.js';
 import {
@@ -17,7 +18,9 @@
 import { createTracing } from '../../telemetry/Tracing.js';
 import { Entry } from '../Entry.js';
 import { EntrySettings, type PolicySettings } from '../EntrySettings.js';
-import type { FakeAgent } from './FakeAgent.js';
+
+/** Longer than the interval at which the membership list is read. */
+const MEMBERSHIP_WAIT_MS = 1500;
 
 export const TOKEN = 'token-of-alba';
 export const INTERNAL_TOKEN = 'internal-token-of-tests';
@@ -27,7 +30,7 @@
 
 /** What a test entry is made of. */
 export interface TestEntryOptions {
-  readonly agents: readonly FakeAgent[];
+  readonly agents: readonly { readonly id: string; readonly address: string }[];
   readonly templates: readonly unknown[];
   readonly policy?: Partial<PolicySettings>;
   /** Deadline of every template, in ms. */
@@ -37,7 +40,9 @@
   /** File that gets the spans. */
   readonly traceFile?: string;
   /** Pool of an agent; `pool` for all by default. */
-  readonly poolOf?: (agent: FakeAgent) => string;
+  readonly poolOf?: (agentId: string) => string;
+  /** False: usage is not recorded, for long measurements. */
+  readonly ledgerKept?: boolean;
 }
 
 /** A running entry and what it recorded. */
@@ -47,6 +52,10 @@
   readonly ledger: LedgerEntry[];
   readonly table: FakeTableStore;
   readonly configuration: ConfigurationSource;
+  /** Adds a server to the membership list that nothing listens for. */
+  addServer(id: string): void;
+  /** Waits until the entry has read the membership list again. */
+  refreshServers(): Promise<void>;
   stop(): Promise<void>;
 }
 
@@ -90,7 +99,7 @@
     address: agent.address,
     failureDomain: 'north',
     region: 'default',
-    pool: options.poolOf?.(agent) ?? 'pool',
+    pool: options.poolOf?.(agent.id) ?? 'pool',
     state: 'live',
   }));
   const entry = new Entry({
@@ -105,7 +114,9 @@
       get: async () => ({ ok: true, value: null }),
     },
     ledger: {
-      record: (row) => ledger.push(row),
+      record: (row) => {
+        if (options.ledgerKept !== false) ledger.push(row);
+      },
       flush: async () => undefined,
       dispose: () => undefined,
     },
@@ -118,7 +129,11 @@
   const stop = async () => {
     await entry.stop();
   };
-  return { entry, url, ledger, table, configuration, stop };
+  const addServer = (id: string) => {
+    instances.push({ ...instances[0]!, id, pool: 'other' });
+  };
+  const refreshServers = () => sleep(MEMBERSHIP_WAIT_MS);
+  return { entry, url, ledger, table, configuration, addServer, refreshServers, stop };
 }
 
 /**
