Do not raise an exception for every attempt that needs no hedge

The aborted sleep of the hedge timer made an AbortError with a stack per attempt (about 4% of the entry's busy samples). A plain timer is cleared instead.

--- a/src/entry/HedgeRace.ts
+++ b/src/entry/HedgeRace.ts
@@ -1,5 +1,4 @@
 /** Runs a second attempt beside a slow one and takes the first answer. */
-import { setTimeout as sleep } from 'node:timers/promises';
 import type { SentAttempt } from './SentAttempt.js';
 import type { AttemptEnd } from './Types.js';
 
@@ -22,12 +21,7 @@
   delayMs: number,
   startSecond: () => SentAttempt | null,
 ): Promise<EndedAttempt> {
-  const timer = new AbortController();
-  const isSlow = await Promise.race([
-    signOf(first).then(() => false),
-    sleep(delayMs, true, { signal: timer.signal }).catch(() => false),
-  ]);
-  timer.abort();
+  const isSlow = await isSlower(first, delayMs);
   const second = isSlow ? startSecond() : null;
   if (!second) return ended(first);
   const leader = await Promise.race([
@@ -45,6 +39,19 @@
   return result;
 }
 
+/** @returns true if the attempt gives no sign within the delay. */
+function isSlower(attempt: SentAttempt, delayMs: number): Promise<boolean> {
+  return new Promise((resolve) => {
+    const timer = setTimeout(() => resolve(true), delayMs);
+    signOf(attempt)
+      .finally(() => {
+        clearTimeout(timer);
+        resolve(false);
+      })
+      .catch(() => undefined);
+  });
+}
+
 /** Resolves at the first chunk or at the end. */
 function signOf(attempt: SentAttempt): Promise<unknown> {
   return Promise.race([attempt.firstChunk, attempt.end]);
