Prove that orders of a former lease holder have no lasting effect

Cause: the promise had no proof with two real agents of one engine.

The holder of the lease is frozen until the other agent took over, then resumed; a copy of the earlier holder's order is delivered late to an engine that enforces fencing numbers and to one that ignores them.

The baseline gives no orders, so `--baseline` ends with an error for this promise.

--- a/src/load/launch/Cluster.ts
+++ b/src/load/launch/Cluster.ts
@@ -10,7 +10,13 @@
 import { LOOPBACK, freePorts } from './Ports.js';
 import { backendService, platformServices, type StandinService } from './StandinServices.js';
 import { TcpRelay } from './TcpRelay.js';
-import type { AgentInstance, BackendServer, ClusterOptions, EntryInstance } from './Types.js';
+import type {
+  AgentInstance,
+  AgentOverrides,
+  BackendServer,
+  ClusterOptions,
+  EntryInstance,
+} from './Types.js';
 
 /** Token of the operator that every launched entry knows. */
 export const OPERATOR_TOKEN = 'operator-token-of-launcher';
@@ -47,6 +53,9 @@
 
   private readonly standins: ManagedProcess[] = [];
 
+  /** URLs of the platform services. */
+  private platform: Record<string, string> = {};
+
   private constructor(
     readonly options: ClusterOptions,
     readonly launcher: Launcher,
@@ -104,6 +113,34 @@
     return [...entries, ...agents];
   }
 
+  /**
+   * Prepares an agent beside a server. It is not started and not on the membership list.
+   * @param id - id of the agent
+   * @param server - backend server
+   * @param overrides - settings that differ from those of the other agents
+   * @returns the agent
+   */
+  async defineAgent(
+    id: string,
+    server: BackendServer,
+    overrides: AgentOverrides = {},
+  ): Promise<AgentInstance> {
+    const [port] = await freePorts(1);
+    const address = `${LOOPBACK}:${port}`;
+    const relay = this.options.relays ? this.addRelay(address) : undefined;
+    const listedAddress = relay ? await relay.listen() : address;
+    const { slots, name } = server.pool;
+    const settings = {
+      ...this.processSettings(id, address, server.failureDomain),
+      backend: { id: server.id, url: `http://${server.address}`, pool: name, slots },
+      ...this.options.agent,
+      ...this.options.agentOf?.(server),
+      ...overrides,
+    };
+    const process = await this.launcher.define(id, 'citronstage-agent', settings);
+    return { id, address, listedAddress, server, process, ...(relay && { relay }) };
+  }
+
   /**
    * Ends all processes and relays.
    * @param failed - keeps the folder with settings and logs
@@ -116,9 +153,9 @@
 
   private async startAll(): Promise<void> {
     await this.placeStandins();
-    const platform = await this.platformSettings();
-    await this.defineAgents(platform);
-    await this.defineEntries(platform);
+    this.platform = await this.platformSettings();
+    await this.defineAgents();
+    await this.defineEntries();
     await this.startStandins();
     await writeSeed(this.table.address, this.options.deployment);
     await startInBatches(this.agents.map((agent) => agent.process));
@@ -181,26 +218,14 @@
     };
   }
 
-  private async defineAgents(platform: Record<string, string>): Promise<void> {
+  private async defineAgents(): Promise<void> {
     if (this.naive) return;
-    const ports = await freePorts(this.servers.length);
-    for (const [position, server] of this.servers.entries()) {
-      const id = `agent-${server.id}`;
-      const address = `${LOOPBACK}:${ports[position]}`;
-      const relay = this.options.relays ? this.addRelay(address) : undefined;
-      const listedAddress = relay ? await relay.listen() : address;
-      const { slots, name } = server.pool;
-      const settings = {
-        ...this.processSettings(id, address, server.failureDomain, platform),
-        backend: { id: server.id, url: `http://${server.address}`, pool: name, slots },
-        ...this.options.agent,
-      };
-      const process = await this.launcher.define(id, 'citronstage-agent', settings);
-      this.agents.push({ id, address, listedAddress, server, process, ...(relay && { relay }) });
+    for (const server of this.servers) {
+      this.agents.push(await this.defineAgent(`agent-${server.id}`, server));
     }
   }
 
-  private async defineEntries(platform: Record<string, string>): Promise<void> {
+  private async defineEntries(): Promise<void> {
     const { entries, failureDomains } = this.options.deployment;
     const ports = await freePorts(entries);
     for (const [position, port] of ports.entries()) {
@@ -208,9 +233,9 @@
       const address = `${LOOPBACK}:${port}`;
       const failureDomain = failureDomains[position % failureDomains.length]!;
       const process = this.naive
-        ? await this.defineNaive(id, address, platform)
+        ? await this.defineNaive(id, address)
         : await this.launcher.define(id, 'citronstage-entry', {
-            ...this.processSettings(id, address, failureDomain, platform),
+            ...this.processSettings(id, address, failureDomain),
             operators: [{ name: 'launcher', tokenDigest: sha256(OPERATOR_TOKEN) }],
             shutdown: { balancerDelayMs: 200 },
             ...this.options.entry,
@@ -223,7 +248,6 @@
     id: string,
     address: string,
     failureDomain: string,
-    platform: Record<string, string>,
   ): Record<string, unknown> {
     const file = this.options.traceFile;
     return {
@@ -231,25 +255,21 @@
       address,
       failureDomain,
       region: this.options.deployment.region,
-      platform,
+      platform: this.platform,
       internalToken: INTERNAL_TOKEN,
       log: { level: 'info' },
       tracing: file === undefined ? { sampleRatio: 0 } : { file: join(this.launcher.folder, file) },
     };
   }
 
-  private async defineNaive(
-    id: string,
-    address: string,
-    platform: Record<string, string>,
-  ): Promise<ManagedProcess> {
+  private async defineNaive(id: string, address: string): Promise<ManagedProcess> {
     const servers: NaiveSettings['servers'] = [];
     for (const server of this.servers) {
       const relay = this.options.relays ? this.addRelay(server.address) : undefined;
       const reached = relay ? await relay.listen() : server.address;
       servers.push({ pool: server.pool.name, url: `http://${reached}` });
     }
-    const settings = { address, tableUrl: platform.tableUrl!, pollIntervalMs: 1000, servers };
+    const settings = { address, tableUrl: this.platform.tableUrl!, pollIntervalMs: 1000, servers };
     return this.launcher.define(id, 'citronstage-load', settings, ['naive']);
   }
 
--- a/src/load/launch/StandinServices.ts
+++ b/src/load/launch/StandinServices.ts
@@ -20,7 +20,7 @@
  */
 export function platformServices(
   addresses: { table: string; objects: string; membership: string },
-  instances: readonly Instance[],
+  instances: readonly Instance[] = [],
 ): StandinService[] {
   return [
     { kind: 'table', name: 'table', address: addresses.table },
--- a/src/load/launch/Types.ts
+++ b/src/load/launch/Types.ts
@@ -10,6 +10,9 @@
 /** `current`: entries and agents; `naive`: the baseline, without agents. */
 export type Variant = 'current' | 'naive';
 
+/** Settings of an agent that differ from the launcher's. */
+export type AgentOverrides = Partial<z.input<typeof AgentSettings>>;
+
 /** What to start. */
 export interface ClusterOptions {
   readonly deployment: Deployment;
@@ -19,7 +22,9 @@
   /** File that gets the spans of entries and agents. */
   readonly traceFile?: string;
   readonly entry?: Partial<z.input<typeof EntrySettings>>;
-  readonly agent?: Partial<z.input<typeof AgentSettings>>;
+  readonly agent?: AgentOverrides;
+  /** Further settings of the agent beside a server. */
+  readonly agentOf?: (server: BackendServer) => AgentOverrides;
   /** Keeps the temporary folder after the end. */
   readonly keepFolder?: boolean;
 }
--- a/src/load/prove/Proofs.ts
+++ b/src/load/prove/Proofs.ts
@@ -5,6 +5,7 @@
 import { DRAIN } from './Drain.js';
 import { ISOLATION } from './Isolation.js';
 import { NO_LOST_RESULT } from './NoLostResult.js';
+import { ORDERS } from './Orders.js';
 import { SHUTDOWN } from './Shutdown.js';
 import type { Proof } from './Types.js';
 import { WHOLE_AND_OWN } from './WholeAndOwn.js';
@@ -17,5 +18,6 @@
   drain: DRAIN,
   shutdown: SHUTDOWN,
   configuration: CONFIGURATION,
+  orders: ORDERS,
   isolation: ISOLATION,
 };
