Leave notice and load out of chunk frames

Cause: each generated token carried the revision notice and the load of the server, more bytes than its own text. Heartbeats bring both every 250 ms on the same connection, and the entry did not read them from chunks.

Change: the chunk frame has no notice and no load; all other frames keep them. An entry that gets them from an older agent ignores them.

Ruled out: several tokens in one frame, which would delay tokens; a shorter incarnation, which the entry needs to void chunks of a restarted agent.

--- a/src/agent/FrameStream.ts
+++ b/src/agent/FrameStream.ts
@@ -4,7 +4,7 @@
 import type { Attempt, Frame, Load, RevisionNotice } from '../common/protocol/Attempt.js';
 import type { Disposable } from '../common/events/Types.js';
 
-/** What every frame carries besides its own fields. */
+/** What frames carry besides their own fields; chunks carry only the incarnation. */
 export interface FrameContext {
   readonly incarnation: string;
   notice(): RevisionNotice;
@@ -79,7 +79,7 @@
     while (!this.closed && !this.blocked && this.nextOffset < chunks.length) {
       const offset = this.nextOffset;
       this.nextOffset += 1;
-      this.write({ type: 'chunk', offset, ...chunks[offset]! });
+      this.send({ type: 'chunk', offset, ...chunks[offset]! });
     }
     const isComplete = this.nextOffset >= chunks.length;
     if (this.closed || this.blocked || !outcome || !isComplete) return;
@@ -95,10 +95,13 @@
   }
 
   private write(body: Body): void {
+    this.send({ ...body, notice: this.context.notice(), load: this.context.load() });
+  }
+
+  private send(body: object): void {
     const { incarnation } = this.context;
     const { attemptId } = this.attempt;
-    const notice = this.context.notice();
-    const frame = { ...body, attemptId, incarnation, notice, load: this.context.load() };
+    const frame = { ...body, attemptId, incarnation };
     this.blocked = !this.response.write(`${JSON.stringify(frame)}\n`);
   }
 }
--- a/src/common/protocol/Attempt.ts
+++ b/src/common/protocol/Attempt.ts
@@ -64,7 +64,7 @@
 });
 export type Attempt = z.infer<typeof Attempt>;
 
-/** Load of a backend server as its agent sees it, carried on every frame. */
+/** Load of a backend server as its agent sees it, carried on every frame but chunks. */
 export const Load = z.object({
   /** Concurrent runs that the backend server takes. */
   slots: z.number().int().positive(),
@@ -94,20 +94,23 @@
 ]);
 export type RefusalReason = z.infer<typeof RefusalReason>;
 
-const FrameBase = z.object({
+const FrameIdentity = z.object({
   attemptId: z.string(),
   /** Random id made at each start of the agent process. */
   incarnation: z.string(),
-  notice: RevisionNotice,
-  load: Load,
 });
 
+const FrameBase = FrameIdentity.extend({ notice: RevisionNotice, load: Load });
+
 /** One line of the answer stream. `result`, `refused` and `failed` are final. */
 export const Frame = z.discriminatedUnion('type', [
   FrameBase.extend({ type: z.literal('accepted') }),
   FrameBase.extend({ type: z.literal('heartbeat') }),
-  /** Generated text; `offset` counts chunks from 0. */
-  FrameBase.extend({
+  /**
+   * Generated text; `offset` counts chunks from 0. Chunks come for every token, so they carry no
+   * notice and no load; heartbeats on the same connection bring both every 250 ms.
+   */
+  FrameIdentity.extend({
     type: z.literal('chunk'),
     offset: z.number().int().nonnegative(),
     text: z.string(),
--- a/src/entry/testing/FakeAgent.ts
+++ b/src/entry/testing/FakeAgent.ts
@@ -201,10 +201,13 @@
   }
 
   private complete(held: Held, part: Part): Frame {
+    const { attemptId } = held.attempt;
+    const { incarnation } = this;
+    if (part.type === 'chunk') return { ...part, attemptId, incarnation };
     return {
       ...part,
-      attemptId: held.attempt.attemptId,
-      incarnation: this.incarnation,
+      attemptId,
+      incarnation,
       notice: { revision: 1, confirmedAgeMs: 0 },
       load: { slots: 4, running: 0, waiting: 0, waitMs: this.waitMs, draining: this.draining },
     };
