--- a/src/agent/FrameStream.ts
+++ b/src/agent/FrameStream.ts
@@ -7,7 +7,7 @@
 /** Bound of one write, so that a slow reader is noticed. */
 const MAX_FRAMES_PER_WRITE = 128;
 
-/** What every frame carries besides its own fields. */
+/** What frames carry besides their own fields; chunks carry only the incarnation. */
 export interface FrameContext {
   readonly incarnation: string;
   notice(): RevisionNotice;
@@ -128,8 +128,13 @@
   private textOf(bodies: readonly Body[]): string {
     const { incarnation } = this.context;
     const { attemptId } = this.attempt;
-    const notice = this.context.notice();
-    const common = { attemptId, incarnation, notice, load: this.context.load() };
-    return bodies.map((body) => `${JSON.stringify({ ...body, ...common })}\n`).join('');
+    const chunkFields = { attemptId, incarnation };
+    const isChunk = (body: Body) => body.type === 'chunk';
+    const fields = bodies.every(isChunk)
+      ? chunkFields
+      : { ...chunkFields, notice: this.context.notice(), load: this.context.load() };
+    return bodies
+      .map((body) => `${JSON.stringify({ ...body, ...(isChunk(body) ? chunkFields : fields) })}\n`)
+      .join('');
   }
 }
