Model idempotent attempts, run ends, cancelling and metering too

It found that an attempt whose call never reached the backend server was counted as overhead: such an attempt is no longer counted.

--- a/src/agent/testing/SimulatedAgent.ts
+++ b/src/agent/testing/SimulatedAgent.ts
@@ -3,6 +3,7 @@
 import { UsageMeter } from '../../common/gate/UsageMeter.js';
 import type { Attempt } from '../../common/protocol/Attempt.js';
 import type { LedgerEntry } from '../../common/protocol/Ledger.js';
+import { NO_USAGE } from '../../common/protocol/Usage.js';
 import { SeededRandom } from '../../common/time/SeededRandom.js';
 import type { Clock } from '../../common/time/Types.js';
 import type { TableStore } from '../../platform/Types.js';
@@ -11,9 +12,12 @@
 import { ClaimWriter } from '../claims/ClaimWriter.js';
 import { applyMessage, type GateMessage } from '../GateMessage.js';
 import type { AttemptTelemetry } from '../AttemptTelemetry.js';
-import type { AgentIdentity } from '../Types.js';
+import type { AgentIdentity, BackendCall } from '../Types.js';
 import type { StepScheduler } from './StepScheduler.js';
 
+/** Concurrent runs of a simulated backend server. */
+export const SIMULATED_SLOTS = 2;
+
 /** Surroundings of a simulated agent. */
 export interface SimulatedWorld {
   readonly scheduler: StepScheduler;
@@ -44,7 +48,7 @@
   ) {
     const { scheduler, clock } = world;
     this.identity = { agentId, incarnation, address: agentId };
-    this.gate = new Gate({ slots: 1, maxWaiting: 4, retentionMs: 2000 }, clock);
+    this.gate = new Gate({ slots: SIMULATED_SLOTS, maxWaiting: 4, retentionMs: 2000 }, clock);
     this.claims = new ClaimWriter({
       store: world.storeOf(this.process),
       objects: {
@@ -59,7 +63,7 @@
       {
         identity: this.identity,
         claims: this.claims,
-        backend: { run: (call) => this.runBackend(call.attempt) },
+        backend: { run: (call) => this.runBackend(call) },
         meter: new UsageMeter(this.identity, clock),
         ledger: { record: (entry) => world.onUsage(entry) },
         telemetry: { attemptEnded: () => undefined } as unknown as AttemptTelemetry,
@@ -95,9 +99,10 @@
     if (!this.crashed) this.use((gate) => applyMessage(gate, message));
   }
 
-  private async runBackend(attempt: Attempt): Promise<RunEnd> {
+  private async runBackend({ attempt, signal }: BackendCall): Promise<RunEnd> {
     const end = this.world.onRun(this, attempt);
     await this.world.scheduler.wait(this.process);
-    return end;
+    if (!signal.aborted || end.kind === 'unreachable') return end;
+    return { kind: 'failed', message: 'aborted', usage: { ...NO_USAGE, calls: 1 } };
   }
 }
--- a/src/common/gate/GateEntry.ts
+++ b/src/common/gate/GateEntry.ts
@@ -160,9 +160,11 @@
     this.isAcknowledged = true;
   }
 
-  /** @returns true the first time, if the attempt was run here */
+  /** @returns true the first time, if the backend server was called */
   takeMeterTurn(): boolean {
-    if (this.isMetered || this.startedAt === null || this.state === 'voided') return false;
+    const { outcome } = this.stream;
+    const isUsed = outcome !== null && outcome.type !== 'refused' && outcome.usage.calls > 0;
+    if (this.isMetered || !isUsed) return false;
     this.isMetered = true;
     return true;
   }
