--- a/src/entry/CallerApi.ts
+++ b/src/entry/CallerApi.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import { setTimeout as sleep } from 'node:timers/promises';
 import { start, stop, type ActorSystemRef } from 'nact';
 import { MAX_REQUEST_BYTES } from '../common/protocol/CallerRequest.js';
 import type { PipelinePlan } from '../common/pipeline/PipelinePlan.js';
@@ -7,11 +8,16 @@
 import type { ConfigurationSource } from '../follower/Types.js';
 import { authenticate, checkRequest, refuse, type CheckedRequest } from './Admission.js';
 import { createRequestId } from './AttemptId.js';
+import type { EntryTelemetry } from './EntryTelemetry.js';
 import { CallerResponse } from './CallerResponse.js';
 import { readBody } from './HttpBody.js';
 import { executeRequest } from './RequestActor.js';
 import type { AbandonReason, Failure, RequestContext, RequestEnd, StageExecutor } from './Types.js';
 
+/** Longest wait of a request for the first configuration: one poll and one retry of the store. */
+const STARTUP_WAIT_MS = 2000;
+const STARTUP_POLL_MS = 25;
+
 const PATH = /^\/v1\/pipelines\/([^/?]+)\/requests(?:\?.*)?$/;
 
 /** What the caller interface needs. */
@@ -20,6 +26,7 @@
   readonly clock: Clock;
   readonly configuration: ConfigurationSource;
   readonly executor: StageExecutor;
+  readonly telemetry: EntryTelemetry;
   /** @returns expected time of a plan, for refusing requests that can't finish in time. */
   readonly forecast: (plan: PipelinePlan) => Forecast;
 }
@@ -52,6 +59,7 @@
     if (refusal) {
       // The rest of a body that was not read must not be taken for the next request.
       if (!request.complete) response.setHeader('connection', 'close');
+      this.options.telemetry.countRefusal(refusal.kind);
       answer.fail(refusal);
     }
     return true;
@@ -78,7 +86,7 @@
     const arrivedAt = this.options.clock.now();
     if (request.method !== 'POST') return refuse('bad-request', 'the method is not POST').failure;
     const { configuration } = this.options;
-    if (!configuration.ready) {
+    if (!(await this.waitForConfiguration())) {
       return refuse('unavailable', 'this entry has no configuration yet').failure;
     }
     const account = authenticate(request.headers, configuration.snapshot());
@@ -98,6 +106,14 @@
     return null;
   }
 
+  /** A request that arrives while this entry starts waits for the first configuration. */
+  private async waitForConfiguration(): Promise<boolean> {
+    const { configuration, clock } = this.options;
+    const until = clock.now() + STARTUP_WAIT_MS;
+    while (!configuration.ready && clock.now() < until) await sleep(STARTUP_POLL_MS);
+    return configuration.ready;
+  }
+
   private checkFeasible({ plan, deadlineMs }: CheckedRequest): Failure | null {
     const { expectedMs, waitMs } = this.options.forecast(plan);
     if (expectedMs <= deadlineMs) return null;
@@ -117,6 +133,13 @@
     revision: number,
   ): Promise<void> {
     const requestId = createRequestId(this.options.entryId);
+    const telemetry = this.options.telemetry.begin({
+      requestId,
+      account: checked.account.id,
+      template: checked.plan.template,
+      traceparent: checked.traceparent,
+      arrivedAt,
+    });
     const abandon = new AbortController();
     const giveUp = (reason: AbandonReason) => abandon.abort(reason);
     const deadline = setTimeout(() => giveUp('deadline'), checked.deadlineMs);
@@ -130,9 +153,10 @@
       pinnedRevision: revision,
       weight: checked.weight,
       signal: abandon.signal,
-      traceparent: undefined,
-      decide: () => undefined,
+      traceAttempt: (stage, agentId) => telemetry.traceAttempt(stage, agentId),
+      decide: (stage, action, reason) => telemetry.decide(stage, action, reason),
     };
+    telemetry.decide(null, 'admit', `revision ${revision}, deadline ${checked.deadlineMs} ms`);
     answer.accept(requestId);
     const end = await this.track(() =>
       executeRequest(
@@ -141,12 +165,16 @@
           context,
           plan: checked.plan,
           input: checked.input,
-          onChunk: (offset, text) => answer.chunk(offset, text),
+          onChunk: (offset, text) => {
+            telemetry.noteChunk();
+            answer.chunk(offset, text);
+          },
         },
         this.options.executor,
       ),
     );
     clearTimeout(deadline);
+    telemetry.finish(end);
     answer.finish(requestId, end);
   }
 
--- a/src/entry/testing/fixtures.ts
+++ b/src/entry/testing/fixtures.ts
@@ -1,4 +1,5 @@
 /** Builds entries with fake surroundings for tests and measurements. */
+import { setTimeout as sleep } from 'node:timers/promises';
 import { sha256 } from '../../common/Digest.js';
 import { Emitter } from '../../common/events/Emitter.js';
 import {
@@ -17,25 +18,31 @@
 import { createTracing } from '../../telemetry/Tracing.js';
 import { Entry } from '../Entry.js';
 import { EntrySettings, type PolicySettings } from '../EntrySettings.js';
-import type { FakeAgent } from './FakeAgent.js';
+
+/** Longer than the interval at which the membership list is read. */
+const MEMBERSHIP_WAIT_MS = 1500;
 
 export const TOKEN = 'token-of-alba';
-const INTERNAL_TOKEN = 'internal-token-of-tests';
+export const INTERNAL_TOKEN = 'internal-token-of-tests';
 
 /** A template in short form: stages may leave out defaults. */
 export type TemplateInput = Parameters<(typeof Template)['parse']>[0];
 
 /** What a test entry is made of. */
 export interface TestEntryOptions {
-  readonly agents: readonly FakeAgent[];
+  readonly agents: readonly { readonly id: string; readonly address: string }[];
   readonly templates: readonly unknown[];
   readonly policy?: Partial<PolicySettings>;
   /** Deadline of every template, in ms. */
   readonly deadlineMs?: number;
   readonly table?: FakeTableStore;
   readonly id?: string;
+  /** File that gets the spans. */
+  readonly traceFile?: string;
   /** Pool of an agent; `pool` for all by default. */
-  readonly poolOf?: (agent: FakeAgent) => string;
+  readonly poolOf?: (agentId: string) => string;
+  /** False: usage is not recorded, for long measurements. */
+  readonly ledgerKept?: boolean;
 }
 
 /** A running entry and what it recorded. */
@@ -45,6 +52,10 @@
   readonly ledger: LedgerEntry[];
   readonly table: FakeTableStore;
   readonly configuration: ConfigurationSource;
+  /** Adds a server to the membership list that nothing listens for. */
+  addServer(id: string): void;
+  /** Waits until the entry has read the membership list again. */
+  refreshServers(): Promise<void>;
   stop(): Promise<void>;
 }
 
@@ -88,7 +99,7 @@
     address: agent.address,
     failureDomain: 'north',
     region: 'default',
-    pool: options.poolOf?.(agent) ?? 'pool',
+    pool: options.poolOf?.(agent.id) ?? 'pool',
     state: 'live',
   }));
   const entry = new Entry({
@@ -103,20 +114,26 @@
       get: async () => ({ ok: true, value: null }),
     },
     ledger: {
-      record: (row) => ledger.push(row),
+      record: (row) => {
+        if (options.ledgerKept !== false) ledger.push(row);
+      },
       flush: async () => undefined,
       dispose: () => undefined,
     },
     logger: createLogger('test', 'error'),
     metrics: createMetrics(),
-    tracing: createTracing('test', { sampleRatio: 1 }),
+    tracing: createTracing('test', { sampleRatio: 1, file: options.traceFile }),
     operators: () => async () => false,
   });
   const url = `http://${await entry.start()}`;
   const stop = async () => {
     await entry.stop();
   };
-  return { entry, url, ledger, table, configuration, stop };
+  const addServer = (id: string) => {
+    instances.push({ ...instances[0]!, id, pool: 'other' });
+  };
+  const refreshServers = () => sleep(MEMBERSHIP_WAIT_MS);
+  return { entry, url, ledger, table, configuration, addServer, refreshServers, stop };
 }
 
 /**
--- a/src/load/prove/Proofs.ts
+++ b/src/load/prove/Proofs.ts
@@ -3,7 +3,9 @@
 import { TRUE_REFUSAL } from './TrueRefusal.js';
 import { CONFIGURATION } from './ConfigurationForce.js';
 import { DRAIN } from './Drain.js';
+import { ISOLATION } from './Isolation.js';
 import { NO_LOST_RESULT } from './NoLostResult.js';
+import { ORDERS } from './Orders.js';
 import { SHUTDOWN } from './Shutdown.js';
 import type { Proof } from './Types.js';
 import { WHOLE_AND_OWN } from './WholeAndOwn.js';
@@ -16,4 +18,6 @@
   drain: DRAIN,
   shutdown: SHUTDOWN,
   configuration: CONFIGURATION,
+  orders: ORDERS,
+  isolation: ISOLATION,
 };
