Keep less of refused attempts

A refusal with reason idempotency-key-reused carried the whole claim row, up to 64 KB with the output of another input; it now goes without the output. The input digest of a refused attempt is not kept, because its refusal does not depend on the input.

--- a/src/agent/AgentProcess.ts
+++ b/src/agent/AgentProcess.ts
@@ -177,8 +177,7 @@
     const isDone = () => this.gate.size === 0 && this.endpoint.openStreams === 0;
     while (!isDone() && this.clock.now() < giveUpAt) await sleep(SHUTDOWN_POLL_MS);
     if (this.gate.size > 0) this.logger.warn('attempts are left', { attempts: this.gate.size });
-    this.actor.send({ type: 'meter-unacknowledged' });
-    await sleep(SHUTDOWN_POLL_MS);
+    await this.actor.ask<void>((reply) => ({ type: 'meter-unacknowledged', reply }));
     await this.orders?.stop();
     await this.flushLedger(giveUpAt);
     this.resources.forEach((resource) => resource.dispose());
--- a/src/agent/GateMessage.ts
+++ b/src/agent/GateMessage.ts
@@ -29,7 +29,7 @@
   | { readonly type: 'claim-settled'; readonly entry: GateEntry }
   | { readonly type: 'check-deadlines' }
   | { readonly type: 'expire-retained' }
-  | { readonly type: 'meter-unacknowledged' }
+  | { readonly type: 'meter-unacknowledged'; readonly reply: Reply<void> }
   | { readonly type: 'drain'; readonly reply: Reply<void> }
   | { readonly type: 'resume'; readonly reply: Reply<void> };
 
@@ -53,7 +53,7 @@
   'claim-settled': (gate, { entry }) => gate.claimSettled(entry),
   'check-deadlines': (gate) => gate.checkDeadlines(),
   'expire-retained': (gate) => gate.expireRetained(),
-  'meter-unacknowledged': (gate) => gate.meterUnacknowledged(),
+  'meter-unacknowledged': (gate, { reply }) => reply(gate.meterUnacknowledged()),
   drain: (gate, { reply }) => reply(gate.drain()),
   resume: (gate, { reply }) => reply(gate.resume()),
 };
--- a/src/agent/claims/ClaimWriter.ts
+++ b/src/agent/claims/ClaimWriter.ts
@@ -148,7 +148,9 @@
       return unavailable('the claim row is not readable', false);
     }
     if (current.inputDigest !== request.claim.inputDigest) {
-      return { kind: 'key-reused', claim: current };
+      // The output belongs to another input; refusals are also kept for long.
+      const { output, outputObject, ...claim } = current;
+      return { kind: 'key-reused', claim };
     }
     if (current.state === 'done') return this.judgeDone(current);
     return isSameHolder(current, request.claim)
--- a/src/common/gate/Gate.ts
+++ b/src/common/gate/Gate.ts
@@ -390,10 +390,11 @@
   private retire(entry: GateEntry): void {
     const { outcome } = entry.stream;
     this.entries.delete(entry.id);
-    this.retired.add(entry.id, {
-      state: entry.state as RetiredAttempt['state'],
-      inputDigest: entry.inputDigest,
-      refusal: outcome?.type === 'refused' ? outcome : undefined,
-    });
+    this.retired.add(
+      entry.id,
+      outcome?.type === 'refused'
+        ? { state: 'voided', inputDigest: null, refusal: outcome }
+        : { state: entry.state as RetiredAttempt['state'], inputDigest: entry.inputDigest },
+    );
   }
 }
--- a/src/common/gate/RetiredAttempts.ts
+++ b/src/common/gate/RetiredAttempts.ts
@@ -4,7 +4,7 @@
 /** What is kept of an attempt after its result was released. */
 export interface RetiredAttempt {
   readonly state: 'finished' | 'failed' | 'voided';
-  /** Null if the attempt was voided before it arrived. */
+  /** Null in state `voided`: such an attempt is refused whatever its input is. */
   readonly inputDigest: string | null;
   /** Why it did not run, state `voided` only. */
   readonly refusal?: Refusal;
