Check the request id of results of shared attempts too

Agents give a request that joins another one's attempt the result under its own request id since, so the exemption for keyed requests is not needed any more.

--- a/src/entry/AttemptStream.ts
+++ b/src/entry/AttemptStream.ts
@@ -101,7 +101,7 @@
 
   /** @returns the end of the connection, or null if more frames follow. */
   private take(frame: Frame): ConnectionEnd | null {
-    const problem = findForeignPart(frame, this.order.content, this.order.shared);
+    const problem = findForeignPart(frame, this.order.content);
     if (problem) return { kind: 'broken', message: problem };
     if (!this.checkIncarnation(frame.incarnation)) {
       return { kind: 'broken', message: 'agent restarted' };
--- a/src/entry/FrameCheck.ts
+++ b/src/entry/FrameCheck.ts
@@ -6,26 +6,17 @@
 /**
  * @param frame - frame received
  * @param content - attempt that was sent
- * @param shared - true if another request may have started the attempt
  * @returns what is wrong with the frame, or null
  */
-export function findForeignPart(
-  frame: Frame,
-  content: AttemptContent,
-  shared: boolean,
-): string | null {
+export function findForeignPart(frame: Frame, content: AttemptContent): string | null {
   if (frame.attemptId !== content.attemptId) return 'frame of another attempt';
-  return frame.type === 'result' ? findResultProblem(frame, content, shared) : null;
+  return frame.type === 'result' ? findResultProblem(frame, content) : null;
 }
 
-function findResultProblem(
-  frame: ResultFrame,
-  content: AttemptContent,
-  shared: boolean,
-): string | null {
+function findResultProblem(frame: ResultFrame, content: AttemptContent): string | null {
   if (frame.account !== content.account) return 'result of another client account';
   if (frame.stage !== content.stage) return 'result of another stage';
-  if (!shared && frame.requestId !== content.requestId) return 'result of another request';
+  if (frame.requestId !== content.requestId) return 'result of another request';
   if (frame.length !== Buffer.byteLength(frame.output)) return 'result length differs';
   if (frame.digest !== sha256(frame.output)) return 'result digest differs';
   return isJson(frame.output) ? null : 'result is not JSON';
--- a/src/entry/SentAttempt.ts
+++ b/src/entry/SentAttempt.ts
@@ -27,7 +27,6 @@
   readonly content: AttemptContent;
   readonly server: RoutedServer;
   readonly context: RequestContext;
-  readonly shared: boolean;
   readonly onChunk: (offset: number, text: string) => void;
 }
 
@@ -126,13 +125,12 @@
 
   private async follow(): Promise<AttemptEnd> {
     const { router, agents } = this.services;
-    const { content, server, context, shared } = this.start;
+    const { content, server, context } = this.start;
     router.begin(server.agentId);
     const order = {
       content: { ...content, traceparent: this.trace.traceparent },
       address: server.address,
       deadlineAt: context.deadlineAt,
-      shared,
     };
     const stop = () => this.stop();
     if (context.signal.aborted) stop();
@@ -185,10 +183,8 @@
     if (end.kind === 'result') {
       this.fateValue = 'finished';
       this.reportResult(end.frame);
-      // The entry that started a shared attempt records it; a replay was recorded before.
-      const isOwn = end.frame.requestId === this.start.content.requestId;
-      if (isOwn && !end.frame.replayed)
-        this.record(end.frame.usage, end.frame.incarnation, 'useful');
+      // A result of an attempt that another request started counts as replayed: it is recorded there.
+      if (!end.frame.replayed) this.record(end.frame.usage, end.frame.incarnation, 'useful');
     }
   }
 
--- a/src/entry/StageRun.ts
+++ b/src/entry/StageRun.ts
@@ -95,17 +95,15 @@
     const attemptId = this.nextAttemptId();
     this.tried.add(server.agentId);
     this.tries += 1;
-    return this.start(attemptId, server, this.usesDerivedIds());
+    return this.start(attemptId, server);
   }
 
-  /** `shared`: another request with the same key may have started the attempt. */
-  private start(attemptId: string, server: RoutedServer, shared: boolean): SentAttempt {
+  private start(attemptId: string, server: RoutedServer): SentAttempt {
     const { context, stage, input, onChunk } = this.task;
     const attempt = new SentAttempt(this.services, {
       server,
       context,
       onChunk,
-      shared,
       content: {
         attemptId,
         requestId: context.requestId,
@@ -279,7 +277,7 @@
   private async join(claim: Claim): Promise<Step | 'again'> {
     const { pool } = this.task.stage;
     const server = { ...claim, pool, failureDomain: '', region: '' };
-    const attempt = this.start(claim.attemptId, server, true);
+    const attempt = this.start(claim.attemptId, server);
     const end = await attempt.end;
     if (end.kind === 'result') return this.takeResult(attempt, end.frame);
     if (end.kind === 'failed') return this.retryAfterFailure(end.frame.message, true);
--- a/src/entry/Types.ts
+++ b/src/entry/Types.ts
@@ -21,8 +21,6 @@
   readonly address: string;
   /** Monotonic time of the request's deadline, in ms. */
   readonly deadlineAt: number;
-  /** True if another request with the same idempotency key may have started this attempt. */
-  readonly shared: boolean;
 }
 
 /** Takes what an attempt's stream carries before its final frame. */
--- a/src/entry/testing/FakeAgent.ts
+++ b/src/entry/testing/FakeAgent.ts
@@ -132,7 +132,7 @@
     for await (const part of request) body += String(part);
     const attempt = JSON.parse(body) as Attempt;
     if (this.kept) this.received.push(attempt);
-    this.stream(this.take(attempt), attempt.resumeFrom, response);
+    this.stream(this.take(attempt), attempt, response);
   }
 
   private take(attempt: Attempt): Held {
@@ -182,8 +182,8 @@
     held.listeners.forEach((listener) => listener());
   }
 
-  private stream(held: Held, resumeFrom: number, response: ServerResponse): void {
-    let next = resumeFrom;
+  private stream(held: Held, asked: Attempt, response: ServerResponse): void {
+    let next = asked.resumeFrom;
     const send = (part: Part) => {
       if (!response.destroyed && !response.writableEnded) {
         this.writeLine(`${JSON.stringify(this.complete(held, part))}\n`, response, part.type);
@@ -197,7 +197,10 @@
         send({ type: 'chunk', offset: next, text: held.chunks[next]!, tokens: 1 });
       }
       if (!held.final) return;
-      send(held.final);
+      // A request that joins the attempt of another one gets the result as its own.
+      const { requestId } = asked;
+      const replayed = requestId !== held.attempt.requestId;
+      send(held.final.type === 'result' ? { ...held.final, requestId, replayed } : held.final);
       response.end();
     };
     held.listeners.add(advance);
