Let keys and prefixes leave a slow or much busier server

Stickiness of keyed requests is for joining only; the claim row keeps a non-idempotent stage from running twice wherever it goes. Taking the first candidate whatever its load made keyed requests wait behind a straggler, so it is now kept up to twice the mean cost of the candidates (1.25 times for prompt prefixes). The cost now includes the server's speed, whose knowledge fades with a half-life of 10 s.

--- a/src/common/routing/Router.ts
+++ b/src/common/routing/Router.ts
@@ -13,8 +13,12 @@
   RouteRequest,
 } from './Types.js';
 
-/** The first candidate keeps its key while its occupancy is at most this many times the mean. */
-const AFFINITY_BOUND = 1.25;
+/**
+ * The first candidate keeps its key while its cost is at most this many times the mean. Leaving it
+ * costs a prompt prefix a cache miss; it costs a repeated request the chance to join its attempt, which
+ * is worth more.
+ */
+const BOUNDS = { affinity: 1.25, sticky: 2 } as const;
 
 /** Parts of the policy that can be switched off. */
 export interface RouterPolicy {
@@ -64,11 +68,8 @@
       location,
       policy.candidates,
     );
-    if (candidates.length < 2 || request.placement === 'sticky') return candidates[0] ?? null;
-    if (!policy.loadAware) return this.chooseAny(candidates);
-    const wantsFirst = request.placement === 'affinity' && policy.prefixAffinity;
-    if (wantsFirst && this.isWithinBound(candidates)) return candidates[0]!;
-    return this.chooseOfTwo(candidates);
+    if (candidates.length < 2) return candidates[0] ?? null;
+    return this.chooseAmong(candidates, request.placement);
   }
 
   /** Notes that an attempt was sent to an agent. */
@@ -96,7 +97,7 @@
   reportResult(server: RoutedServer, work: RoutedWork, times: RoutedTimes): boolean {
     const expected = this.times.expect(work);
     const ratio = expected && times.serviceMs / Math.max(1, expected.medianServiceMs);
-    this.stateOf(server.agentId).addResult(ratio);
+    this.stateOf(server.agentId).addResult(ratio, this.options.clock.now());
     this.times.add(work, times);
     if (!this.options.policy.ejection) return false;
     return this.ejection.considerLatency(server.agentId, this.poolStates(server.pool));
@@ -165,6 +166,18 @@
     return !this.ejection.isEjected(agentId);
   }
 
+  private chooseAmong(
+    candidates: readonly RoutedServer[],
+    placement: RouteRequest['placement'],
+  ): RoutedServer {
+    const { loadAware, prefixAffinity } = this.options.policy;
+    if (placement === 'sticky' && !loadAware) return candidates[0]!;
+    if (!loadAware) return this.chooseAny(candidates);
+    const wantsFirst = placement === 'sticky' || (placement === 'affinity' && prefixAffinity);
+    if (wantsFirst && this.isWithinBound(candidates, BOUNDS[placement])) return candidates[0]!;
+    return this.chooseOfTwo(candidates);
+  }
+
   private chooseAny(candidates: readonly RoutedServer[]): RoutedServer {
     return candidates[Math.floor(this.options.random.next() * candidates.length)]!;
   }
@@ -179,18 +192,16 @@
 
   /** Expected time in the server relative to an idle typical one; a slow start makes it look busier. */
   private costOf(agentId: string): number {
-    const state = this.stateOf(agentId);
-    const occupancy = state.occupancy(this.options.clock.now()) + 1 / state.slots;
-    return (occupancy * Math.max(1, state.slowness)) / this.ejection.shareOf(agentId);
+    const cost = this.stateOf(agentId).cost(this.options.clock.now());
+    return cost / this.ejection.shareOf(agentId);
   }
 
-  private isWithinBound(candidates: readonly RoutedServer[]): boolean {
-    const now = this.options.clock.now();
-    const occupancies = candidates.map(({ agentId }) => this.stateOf(agentId).occupancy(now));
-    const first = this.stateOf(candidates[0]!.agentId);
-    const mean = occupancies.reduce((sum, value) => sum + value, 0) / occupancies.length;
-    const share = this.ejection.shareOf(candidates[0]!.agentId);
-    return share === 1 && occupancies[0]! <= AFFINITY_BOUND * mean + 1 / first.slots;
+  private isWithinBound(candidates: readonly RoutedServer[], bound: number): boolean {
+    const costs = candidates.map(({ agentId }) => this.costOf(agentId));
+    const mean = costs.reduce((sum, cost) => sum + cost, 0) / costs.length;
+    // One more attempt is always allowed, or a single one on idle servers would exceed the bound.
+    const slack = 1 / this.stateOf(candidates[0]!.agentId).slots;
+    return costs[0]! <= bound * mean + slack;
   }
 
   private poolStates(pool: string): PoolStates {
--- a/src/common/routing/ServerState.ts
+++ b/src/common/routing/ServerState.ts
@@ -9,6 +9,9 @@
 /** Weight of a new result in the running mean of slowness. */
 const SLOWNESS_WEIGHT = 0.2;
 
+/** Half-life of what is known about a server's speed, so that a slow one is tried again. */
+const SLOWNESS_HALF_LIFE_MS = 10_000;
+
 /** Slots assumed before an agent has reported. */
 const DEFAULT_SLOTS = 1;
 
@@ -22,6 +25,8 @@
   /** Mean of service time over the typical time of the same stage; 1 is typical. */
   slowness = 1;
 
+  private slownessAtMs = 0;
+
   /** Results since the start or the last ejection. */
   results = 0;
 
@@ -46,12 +51,14 @@
   }
 
   /**
-   * @param ratio - service time of a result over the typical time of its stage
+   * @param ratio - service time of a result over the typical time of its stage, null if not known
+   * @param nowMs - monotonic time
    */
-  addResult(ratio: number | null): void {
+  addResult(ratio: number | null, nowMs: number): void {
     this.consecutiveFailures = 0;
     if (ratio === null) return;
     this.slowness += SLOWNESS_WEIGHT * (ratio - this.slowness);
+    this.slownessAtMs = nowMs;
     this.results += 1;
   }
 
@@ -65,6 +72,13 @@
     return this.load?.slots ?? DEFAULT_SLOTS;
   }
 
+  /** @returns expected time of a further attempt, relative to an idle typical server with one slot. */
+  cost(nowMs: number): number {
+    const faded = 2 ** (-(nowMs - this.slownessAtMs) / SLOWNESS_HALF_LIFE_MS);
+    const slowness = Math.max(1, 1 + (this.slowness - 1) * faded);
+    return (this.occupancy(nowMs) + 1 / this.slots) * slowness;
+  }
+
   /** @returns estimated running and waiting attempts per slot. */
   occupancy(nowMs: number): number {
     return (this.outstanding + this.othersAtReport * this.decay(nowMs)) / this.slots;
