Say why a server was chosen, and store explanations as text

Each send names the reason of the choice (first candidate of the key or prefix, less busy of two, only server, no healthy server left) instead of a separate route decision.

--- a/src/common/routing/Router.ts
+++ b/src/common/routing/Router.ts
@@ -7,6 +7,7 @@
 import type {
   FailureSignal,
   Location,
+  RouteChoice,
   RoutedServer,
   RoutedTimes,
   RoutedWork,
@@ -20,6 +21,13 @@
  */
 const BOUNDS = { affinity: 1.25, sticky: 2 } as const;
 
+/** Why the first candidate is taken, by placement. */
+const FIRST_REASONS = {
+  spread: 'first candidate',
+  affinity: 'first candidate of the prompt prefix',
+  sticky: 'first candidate of the idempotency key',
+} as const;
+
 /** Parts of the policy that can be switched off. */
 export interface RouterPolicy {
   /** Candidates per choice. */
@@ -56,7 +64,7 @@
    * @param request - what the server is wanted for
    * @returns a server, or null if the pool has none left
    */
-  choose(request: RouteRequest): RoutedServer | null {
+  choose(request: RouteRequest): RouteChoice | null {
     const untried = this.options
       .serversOf(request.pool)
       .filter((server) => !request.exclude.has(server.agentId));
@@ -68,8 +76,13 @@
       location,
       policy.candidates,
     );
-    if (candidates.length < 2) return candidates[0] ?? null;
-    return this.chooseAmong(candidates, request.placement);
+    const [first] = candidates;
+    if (!first) return null;
+    const choice =
+      candidates.length === 1
+        ? { server: first, reason: 'only server' }
+        : this.chooseAmong(candidates, request.placement);
+    return usable.length > 0 ? choice : { ...choice, reason: 'no healthy server is left' };
   }
 
   /** Notes that an attempt was sent to an agent. */
@@ -169,13 +182,14 @@
   private chooseAmong(
     candidates: readonly RoutedServer[],
     placement: RouteRequest['placement'],
-  ): RoutedServer {
+  ): RouteChoice {
     const { loadAware, prefixAffinity } = this.options.policy;
-    if (placement === 'sticky' && !loadAware) return candidates[0]!;
-    if (!loadAware) return this.chooseAny(candidates);
+    const first = { server: candidates[0]!, reason: FIRST_REASONS[placement] };
+    if (placement === 'sticky' && !loadAware) return first;
+    if (!loadAware) return { server: this.chooseAny(candidates), reason: 'any candidate' };
     const wantsFirst = placement === 'sticky' || (placement === 'affinity' && prefixAffinity);
-    if (wantsFirst && this.isWithinBound(candidates, BOUNDS[placement])) return candidates[0]!;
-    return this.chooseOfTwo(candidates);
+    if (wantsFirst && this.isWithinBound(candidates, BOUNDS[placement])) return first;
+    return { server: this.chooseOfTwo(candidates), reason: 'less busy of two candidates' };
   }
 
   private chooseAny(candidates: readonly RoutedServer[]): RoutedServer {
--- a/src/common/routing/Types.ts
+++ b/src/common/routing/Types.ts
@@ -38,6 +38,12 @@
  */
 export type FailureSignal = 'unreachable' | 'failed';
 
+/** A server and why it was chosen. */
+export interface RouteChoice {
+  readonly server: RoutedServer;
+  readonly reason: string;
+}
+
 /** What a server is wanted for. */
 export interface RouteRequest {
   readonly pool: string;
--- a/src/entry/EntryTelemetry.ts
+++ b/src/entry/EntryTelemetry.ts
@@ -1,6 +1,6 @@
 import type { Counter, Histogram } from '@opentelemetry/api';
 import { LRUCache } from 'lru-cache';
-import type { Explanation } from '../common/protocol/Control.js';
+import type { Decision, Explanation } from '../common/protocol/Control.js';
 import type { Clock } from '../common/time/Types.js';
 import type { Metrics } from '../telemetry/Metrics.js';
 import type { Tracing } from '../telemetry/Tracing.js';
@@ -23,7 +23,10 @@
 
 /** Explanations, spans and metrics of all requests of an entry. */
 export class EntryTelemetry {
-  private readonly explanations = new LRUCache<string, Explanation>({ max: MAX_EXPLANATIONS });
+  /** Explanations of ended requests as JSON text without field names: half the memory of objects. */
+  private readonly explanations = new LRUCache<string, string>({ max: MAX_EXPLANATIONS });
+
+  private readonly running = new Map<string, Explanation>();
 
   private readonly instruments: EntryInstruments;
 
@@ -65,10 +68,15 @@
     arrivedAt: number;
   }): RequestTelemetry {
     const { requestId, account, template } = request;
-    const explanation = { requestId, account, template, decisions: [] };
-    this.explanations.set(requestId, explanation);
+    const explanation: Explanation = { requestId, account, template, decisions: [] };
+    this.running.set(requestId, explanation);
     const { clock, tracing, instruments } = this;
-    return new RequestTelemetry({ clock, tracing, instruments }, request, explanation.decisions);
+    const onEnd = () => {
+      this.running.delete(requestId);
+      this.explanations.set(requestId, pack(explanation));
+    };
+    const services = { clock, tracing, instruments, onEnd };
+    return new RequestTelemetry(services, request, explanation.decisions as Decision[]);
   }
 
   /** Counts a request that was refused before anything was dispatched. */
@@ -78,6 +86,27 @@
 
   /** @returns decisions about a request, or null if they are not known here. */
   explain(requestId: string): Explanation | null {
-    return this.explanations.get(requestId) ?? null;
+    const running = this.running.get(requestId);
+    if (running) return running;
+    const text = this.explanations.get(requestId);
+    return text === undefined ? null : unpack(text);
   }
 }
+
+type Packed = [
+  requestId: string,
+  account: string,
+  template: string,
+  decisions: [Decision['atMs'], Decision['stage'], Decision['action'], Decision['reason']][],
+];
+
+function pack({ requestId, account, template, decisions }: Explanation): string {
+  const rows = decisions.map(({ atMs, stage, action, reason }) => [atMs, stage, action, reason]);
+  return JSON.stringify([requestId, account, template, rows]);
+}
+
+function unpack(text: string): Explanation {
+  const [requestId, account, template, rows] = JSON.parse(text) as Packed;
+  const decisions = rows.map(([atMs, stage, action, reason]) => ({ atMs, stage, action, reason }));
+  return { requestId, account, template, decisions };
+}
--- a/src/entry/RequestTelemetry.ts
+++ b/src/entry/RequestTelemetry.ts
@@ -13,6 +13,8 @@
   readonly clock: Clock;
   readonly tracing: Tracing;
   readonly instruments: EntryInstruments;
+  /** Called when the request has ended and all is noted. */
+  readonly onEnd: () => void;
 }
 
 /** Explanation, spans and metrics of one request. */
@@ -90,5 +92,6 @@
     this.decide(null, 'finish', end.ok ? 'result' : `${kind}, ${outcome}: ${end.failure.message}`);
     this.span.setAttributes({ outcome, kind });
     this.span.end();
+    this.services.onEnd();
   }
 }
--- a/src/entry/StageRun.ts
+++ b/src/entry/StageRun.ts
@@ -2,7 +2,7 @@
 import type { Claim } from '../common/protocol/Claim.js';
 import type { Outcome } from '../common/protocol/CallerError.js';
 import { NO_USAGE } from '../common/protocol/Usage.js';
-import type { RoutedServer, RouteRequest } from '../common/routing/Types.js';
+import type { RouteChoice, RoutedServer, RouteRequest } from '../common/routing/Types.js';
 import { createAttemptId, deriveAttemptId } from './AttemptId.js';
 import { actionAfter, type RefusalAction } from './RefusalActions.js';
 import { raceWithHedge, type EndedAttempt } from './HedgeRace.js';
@@ -27,6 +27,9 @@
 /** Characters of the prompt that select the engine; a block of a typical prefix cache is about as long. */
 const AFFINITY_PREFIX_LENGTH = 256;
 
+/** Digits of an attempt id in explanations; enough to find it in an agent's log. */
+const ATTEMPT_LABEL_LENGTH = 12;
+
 /** Suggested to callers that are refused for want of servers. */
 const RETRY_AFTER_MS = 1000;
 
@@ -67,12 +70,12 @@
     this.services.retries.earn();
     while (!context.signal.aborted) {
       if (this.tries >= MAX_TRIES) return this.failLast();
-      const server = this.route();
-      if (!server) {
+      const choice = this.route();
+      if (!choice) {
         if (!(await this.pause())) return this.failLast();
         continue;
       }
-      const attempt = this.send(server);
+      const attempt = this.send(choice);
       const ended = await this.follow(attempt);
       const step = await this.conclude(ended.attempt, ended.end);
       if (step) return step;
@@ -80,25 +83,22 @@
     return this.abandon();
   }
 
-  private route(): RoutedServer | null {
-    const { context, stage } = this.task;
-    const server = this.services.router.choose({
-      pool: stage.pool,
+  private route(): RouteChoice | null {
+    return this.services.router.choose({
+      pool: this.task.stage.pool,
       ...placementOf(this.task),
       exclude: this.tried,
     });
-    if (server) context.decide(stage.name, 'route', `to ${server.agentId}`);
-    return server;
   }
 
-  private send(server: RoutedServer): SentAttempt {
+  private send({ server, reason }: RouteChoice): SentAttempt {
     const attemptId = this.nextAttemptId();
     this.tried.add(server.agentId);
     this.tries += 1;
-    return this.start(attemptId, server);
+    return this.start(attemptId, server, reason);
   }
 
-  private start(attemptId: string, server: RoutedServer): SentAttempt {
+  private start(attemptId: string, server: RoutedServer, reason: string): SentAttempt {
     const { context, stage, input, onChunk } = this.task;
     const attempt = new SentAttempt(this.services, {
       server,
@@ -124,7 +124,8 @@
       },
     });
     this.attempts.push(attempt);
-    context.decide(stage.name, 'send', `attempt ${attempt.id} to ${server.agentId}`);
+    const label = attempt.id.slice(0, ATTEMPT_LABEL_LENGTH);
+    context.decide(stage.name, 'send', `to ${server.agentId}, ${reason}, attempt ${label}`);
     return attempt;
   }
 
@@ -138,10 +139,11 @@
     }
     hedges.earn();
     return raceWithHedge(attempt, expected.highFirstMs, () => {
-      const server = this.route();
-      if (!server || !router.hasFreeSlot(server.agentId) || !hedges.trySpend()) return null;
+      const choice = this.route();
+      if (!choice || !router.hasFreeSlot(choice.server.agentId)) return null;
+      if (!hedges.trySpend()) return null;
       context.decide(stage.name, 'hedge', `no answer after ${expected.highFirstMs} ms`);
-      return this.send(server);
+      return this.send(choice);
     });
   }
 
@@ -277,7 +279,7 @@
   private async join(claim: Claim): Promise<Step | 'again'> {
     const { pool } = this.task.stage;
     const server = { ...claim, pool, failureDomain: '', region: '' };
-    const attempt = this.start(claim.attemptId, server);
+    const attempt = this.start(claim.attemptId, server, 'holder of the claim');
     const end = await attempt.end;
     if (end.kind === 'result') return this.takeResult(attempt, end.frame);
     if (end.kind === 'failed') return this.retryAfterFailure(end.frame.message, true);
