Forecast next month's bill

forecast multiplies the expected volume of each account and template by the unit cost of each stage of the published templates. Volume: log-linear growth plus weekday over the last 56 days, the slope reduced by its own error. Unit cost: the last 7 days, or the last 2 if these differ clearly from the 14 before, as after a template change. A stage that never ran takes the unit cost of like stages with a wider band.

The merge of the ledger moved from the entry to the command: the entry only hands out pages of 8 rows, so that a report does not delay callers.

--- a/src/cli/Cli.test.ts
+++ b/src/cli/Cli.test.ts
@@ -149,5 +149,38 @@
   const page = (await run('cost', '--format', 'html')).out;
   assert.match(page, /<svg/);
   assert.doesNotMatch(page, /<script|src=|href="http/);
-  assert.equal((await run('cost', '--month', 'March')).code, 1);
+  assert.equal((await run('cost', '--month', 'March')).code, 2);
+});
+
+test('a forecast reads the whole ledger, more than one page, and the published templates', async () => {
+  await run('template', 'publish', await file('plan.jsonc', TEMPLATE));
+  const account = `{ "id": "acme", "tokenDigest": "${'a'.repeat(64)}", "templates": { "plan": { "deadlineMs": 6000 } } }`;
+  assert.equal((await run('account', 'publish', await file('acme.jsonc', account))).code, 0);
+  const yesterday = Date.now() - 86_400_000;
+  for (let agent = 0; agent < 20; agent += 1) {
+    const days = Array.from({ length: 14 }, (_, index) => {
+      const date = new Date(yesterday - index * 86_400_000).toISOString();
+      return { month: date.slice(0, 7), day: date.slice(8, 10) };
+    });
+    const entries = days.map(({ month, day }) => ({
+      ...{ agentId: `a${agent}`, agentIncarnation: 'i', account: 'acme', template: 'plan' },
+      ...{ month, stage: 'draft', class: 'useful' as const, attempts: 100 },
+      usage: { acceleratorMs: 50_000, tokensIn: 0, tokensOut: 0, calls: 100 },
+      days: { [day]: [100, 50_000] as [number, number] },
+    }));
+    const row: LedgerRow = {
+      ...{ writer: 'agent', writerId: `a${agent}`, incarnation: 'i', sequence: 1, entries },
+    };
+    const address = { table: LEDGER_TABLE, key: `${ledgerKey(row)}/x/0` };
+    fixture.store.table.transaction({ checks: [], writes: [{ ...address, value: row }] });
+  }
+  const forecast = JSON.parse((await run('forecast', '--month', '2031-04', '--json')).out);
+  const draft = forecast.lines.find((line: { stage: string }) => line.stage === 'draft');
+  // 20 agents, 100 requests a day of 0.5 s each, 30 days.
+  assert.ok(Math.abs(draft.amount / 30_000 - 1) < 0.01, `amount ${draft.amount}`);
+  assert.ok(draft.low < draft.amount && draft.amount < draft.high);
+  const page = (await run('forecast', '--format', 'html')).out;
+  assert.match(page, /Forecast for \d{4}-\d{2}/);
+  assert.equal(page.match(/<svg/g)?.length, 3);
+  assert.match((await run('forecast', '--format', 'csv')).out, /,acme,plan,draft,/);
 });
--- a/src/cli/CommandTable.ts
+++ b/src/cli/CommandTable.ts
@@ -3,6 +3,7 @@
 import { changeFromFile, changeSubject, type FileKind } from './commands/ChangeConfiguration.js';
 import { drainServer } from './commands/DrainServer.js';
 import { listConfiguration } from './queries/ListConfiguration.js';
+import { showForecast } from './queries/ShowForecast.js';
 import { showCost } from './queries/ShowCost.js';
 import { REPORT_FORMATS, type ReportFormat } from './Report.js';
 import { explainRequest, showStatus } from './queries/ShowStatus.js';
@@ -106,13 +107,19 @@
   const withCost = (inner: Argv) =>
     reportOptions(inner)
       .option('account', { type: 'string', describe: 'Client account; all by default' })
-      .option('month', { type: 'string', describe: 'YYYY-MM; all by default' });
+      .option('month', {
+        type: 'string',
+        describe: 'YYYY-MM; by default all costs, next forecast',
+      });
   const withRequest = (inner: Argv) =>
     inner.positional('request-id', { type: 'string', demandOption: true });
   return program
     .command('cost', 'Show what each stage cost each client account', withCost, (words) =>
       choose((context) => showCost(context, words)),
     )
+    .command('forecast', "Forecast next month's bill", withCost, (words) =>
+      choose((context) => showForecast(context, words, Date.now())),
+    )
     .command('status', 'Show entries and agents', {}, () => choose(showStatus))
     .command('revision', 'Show the revision in force', {}, () =>
       choose((context) => listConfiguration(context, 'revision')),
--- a/src/cli/Report.ts
+++ b/src/cli/Report.ts
@@ -2,6 +2,7 @@
 import { writeFile } from 'node:fs/promises';
 import { readSettings, describeProblem } from '../settings/SettingsFile.js';
 import { DEFAULT_PRICES, Prices } from '../common/ledger/Prices.js';
+import type { Page } from './Page.js';
 import { formatCsv, formatTable, type Cell } from './Table.js';
 import { usageError, type CliResult } from './Types.js';
 
@@ -15,8 +16,8 @@
   readonly rows: readonly (readonly Cell[])[];
   /** Body of the JSON form. */
   readonly json: unknown;
-  /** Makes the HTML page. */
-  page(): Promise<string>;
+  /** Content of the HTML page. */
+  page(): Page;
 }
 
 /** How a report is put out. */
@@ -30,7 +31,11 @@
   table: async ({ header, rows }) => formatTable(header, rows.map(roundCells)),
   csv: async ({ header, rows }) => formatCsv(header, rows),
   json: async ({ json }) => [JSON.stringify(json)],
-  html: async (report) => [await report.page()],
+  html: async (report) => {
+    // Loaded only for pages: the plot library takes longer to load than other commands take to run.
+    const { renderPage } = await import('./Page.js');
+    return [await renderPage(report.page())];
+  },
 };
 
 /**
--- a/src/cli/queries/ShowCost.ts
+++ b/src/cli/queries/ShowCost.ts
@@ -1,12 +1,13 @@
 /** Shows what each stage cost each client account. */
 import type { CostLine } from '../../common/ledger/CostBook.js';
+import type { Page } from '../Page.js';
 import { priceOf, type Prices } from '../../common/ledger/Prices.js';
 import { NO_USAGE } from '../../common/protocol/Usage.js';
-import type { CostReply } from '../../entry/operator/queries/CostQuery.js';
-import { renderPage } from '../Page.js';
+
 import { putReport, readPrices, type Report, type ReportOptions } from '../Report.js';
 import type { Cell } from '../Table.js';
-import type { CliContext, CliResult } from '../Types.js';
+import { fetchLedger } from './FetchLedger.js';
+import { usageError, type CliContext, type CliResult } from '../Types.js';
 
 const MS_PER_SECOND = 1000;
 
@@ -27,14 +28,17 @@
   context: CliContext,
   words: CostArguments,
 ): Promise<CliResult<string[]>> {
+  if (words.month !== undefined && !/^\d{4}-\d{2}$/.test(words.month)) {
+    return usageError(`--month: expected YYYY-MM, found "${words.month}"`);
+  }
   const prices = readPrices(words.prices);
   if (!prices.ok) return prices;
-  const query = new URLSearchParams();
-  if (words.account !== undefined) query.set('account', words.account);
-  if (words.month !== undefined) query.set('month', words.month);
-  const result = await context.connection.call('GET', `cost?${query}`);
-  if (!result.ok) return result;
-  const { lines } = result.value as CostReply;
+  const ledger = await fetchLedger(context);
+  if (!ledger.ok) return ledger;
+  const lines = ledger.value.lines({
+    ...(words.account !== undefined && { account: words.account }),
+    ...(words.month !== undefined && { month: words.month }),
+  });
   const format = context.json ? 'json' : words.format;
   return putReport(costReport(lines, prices.value), { ...words, format });
 }
@@ -65,54 +69,53 @@
       { month, account, stage: `${template}/${stage}`, class: 'overhead', amount: overheadAmount },
     ],
   );
-  const page = () =>
-    renderPage({
-      title: 'Cost by client account and stage',
-      notes: [
-        'Useful work reached a caller; overhead was cancelled, hedged in vain or failed.',
-        'Agents and entries count the same work; each line takes the greater count of an agent incarnation.',
-      ],
-      plots: [
-        {
-          caption: `Amount by account and stage (${prices.currency})`,
-          spec: {
-            data: { values },
-            width: 480,
-            mark: 'bar',
-            encoding: {
-              y: { field: 'account', type: 'nominal', title: 'Client account' },
-              x: {
-                field: 'amount',
-                type: 'quantitative',
-                aggregate: 'sum',
-                title: prices.currency,
-              },
-              color: { field: 'stage', type: 'nominal', title: 'Stage' },
+  const page = (): Page => ({
+    title: 'Cost by client account and stage',
+    notes: [
+      'Useful work reached a caller; overhead was cancelled, hedged in vain or failed.',
+      'Agents and entries count the same work; each line takes the greater count of an agent incarnation.',
+    ],
+    plots: [
+      {
+        caption: `Amount by account and stage (${prices.currency})`,
+        spec: {
+          data: { values },
+          width: 480,
+          mark: 'bar',
+          encoding: {
+            y: { field: 'account', type: 'nominal', title: 'Client account' },
+            x: {
+              field: 'amount',
+              type: 'quantitative',
+              aggregate: 'sum',
+              title: prices.currency,
             },
+            color: { field: 'stage', type: 'nominal', title: 'Stage' },
           },
         },
-        {
-          caption: 'Useful work and overhead by month',
-          spec: {
-            data: { values },
-            width: 480,
-            mark: 'bar',
-            encoding: {
-              y: { field: 'month', type: 'ordinal', title: 'Month' },
-              x: {
-                field: 'amount',
-                type: 'quantitative',
-                aggregate: 'sum',
-                title: prices.currency,
-              },
-              color: { field: 'class', type: 'nominal', title: 'Class' },
+      },
+      {
+        caption: 'Useful work and overhead by month',
+        spec: {
+          data: { values },
+          width: 480,
+          mark: 'bar',
+          encoding: {
+            y: { field: 'month', type: 'ordinal', title: 'Month' },
+            x: {
+              field: 'amount',
+              type: 'quantitative',
+              aggregate: 'sum',
+              title: prices.currency,
             },
+            color: { field: 'class', type: 'nominal', title: 'Class' },
           },
         },
-      ],
-      header,
-      rows,
-    });
+      },
+    ],
+    header,
+    rows,
+  });
   return { header, rows, json: { currency: prices.currency, lines: priced }, page };
 }
 
--- /dev/null
+++ b/src/cli/queries/ShowForecast.ts
@@ -0,0 +1,164 @@
+/** Forecasts a month's bill from published templates and past days. */
+import type { DailyUsage } from '../../common/ledger/CostBook.js';
+import { forecastMonth, type Forecast } from '../../common/ledger/Forecast.js';
+import type { Page, Plot } from '../Page.js';
+import { putReport, readPrices, type Report, type ReportOptions } from '../Report.js';
+import type { Cell } from '../Table.js';
+import { usageError, type CliContext, type CliResult } from '../Types.js';
+import { fetchLedger } from './FetchLedger.js';
+import { fetchConfiguration } from './ListConfiguration.js';
+
+const MS_PER_SECOND = 1000;
+const PERCENT = 100;
+
+/** Arguments of `forecast`. */
+export interface ForecastArguments extends ReportOptions {
+  readonly account?: string;
+  /** Month to forecast; the next one by default. */
+  readonly month?: string;
+  /** Price list. */
+  readonly prices?: string;
+}
+
+/**
+ * @param context - connection and output
+ * @param words - filter, month, price list, format
+ * @param now - wall-clock milliseconds since 1970-01-01 UTC
+ * @returns text for the operator
+ */
+export async function showForecast(
+  context: CliContext,
+  words: ForecastArguments,
+  now: number,
+): Promise<CliResult<string[]>> {
+  const month = words.month ?? monthAfter(now);
+  if (!/^\d{4}-(0[1-9]|1[0-2])$/.test(month))
+    return usageError(`--month: expected YYYY-MM, found "${month}"`);
+  const prices = readPrices(words.prices);
+  if (!prices.ok) return prices;
+  const configuration = await fetchConfiguration(context);
+  if (!configuration.ok) return configuration;
+  const { templates, accounts } = configuration.value;
+  const chosen = accounts.filter(({ id }) => words.account === undefined || id === words.account);
+  if (chosen.length === 0) return usageError(`account "${words.account ?? ''}" is not published`);
+  const ledger = await fetchLedger(context);
+  if (!ledger.ok) return ledger;
+  const daily = ledger.value.daily();
+  const forecast = forecastMonth({
+    daily,
+    costs: ledger.value.lines(),
+    ...{ templates, accounts: chosen, prices: prices.value, month },
+    today: new Date(now).toISOString().slice(0, 'YYYY-MM-DD'.length),
+  });
+  const shown = daily.filter(({ account }) => chosen.some(({ id }) => id === account));
+  const format = context.json ? 'json' : words.format;
+  return putReport(forecastReport(forecast, shown), { ...words, format });
+}
+
+/**
+ * @param forecast - forecast
+ * @param daily - past days, for the plot
+ * @returns report
+ */
+export function forecastReport(forecast: Forecast, daily: readonly DailyUsage[]): Report {
+  const { currency, month, lines, accounts, total } = forecast;
+  const header = [
+    ...['MONTH', 'ACCOUNT', 'TEMPLATE', 'STAGE', 'REQUESTS', 'MS A REQUEST'],
+    ...[`AMOUNT (${currency})`, 'LOW', 'HIGH', 'UNIT COST FROM'],
+  ];
+  const empty = ['all', 'all', '', ''] as const;
+  const rows: Cell[][] = lines.map((line) => [
+    ...[month, line.account, line.template, line.stage, line.requests],
+    ...[line.unit.acceleratorMs, line.amount, line.low, line.high, line.basis],
+  ]);
+  for (const { account, amount, low, high } of accounts) {
+    rows.push([month, account, ...empty, amount, low, high, '']);
+  }
+  rows.push([month, 'all', ...empty, total.amount, total.low, total.high, '']);
+  const page = (): Page => ({
+    title: `Forecast for ${month}`,
+    notes: notesOf(forecast),
+    plots: [accountPlot(forecast), stagePlot(forecast), historyPlot(daily)],
+    header,
+    rows,
+  });
+  return { header, rows, json: forecast, page };
+}
+
+function notesOf({ total, currency, bandProbability, withoutHistory }: Forecast): string[] {
+  const round = (amount: number) => amount.toLocaleString('en', { maximumFractionDigits: 0 });
+  const notes = [
+    `Expected: ${round(total.amount)} ${currency}, between ${round(total.low)} and ${round(total.high)} with a probability of ${bandProbability * PERCENT}% if volumes go on as in the last eight weeks.`,
+    'Volumes are extended by growth and weekday; unit costs are those of the last days; stages are those of the published templates.',
+  ];
+  for (const { account, template } of withoutHistory) {
+    notes.push(`Not included: ${account} has not used ${template} in the last eight weeks.`);
+  }
+  return notes;
+}
+
+function accountPlot({ accounts, currency }: Forecast): Plot {
+  const y = { field: 'account', type: 'nominal', title: 'Client account' } as const;
+  return {
+    caption: 'Expected amount by account, with its band',
+    spec: {
+      data: { values: [...accounts] },
+      width: 480,
+      layer: [
+        { mark: 'bar', encoding: { y, x: { field: 'amount', type: 'quantitative' } } },
+        {
+          mark: { type: 'rule', strokeWidth: 3, color: 'black' },
+          encoding: {
+            y,
+            x: { field: 'low', type: 'quantitative', title: currency },
+            x2: { field: 'high' },
+          },
+        },
+      ],
+    },
+  };
+}
+
+function stagePlot({ lines, currency }: Forecast): Plot {
+  const values = lines.map(({ account, template, stage, amount }) => ({
+    ...{ account, amount, stage: `${template}/${stage}` },
+  }));
+  return {
+    caption: 'Expected amount by stage',
+    spec: {
+      data: { values },
+      width: 480,
+      mark: 'bar',
+      encoding: {
+        y: { field: 'stage', type: 'nominal', title: 'Stage' },
+        x: { field: 'amount', type: 'quantitative', aggregate: 'sum', title: currency },
+        color: { field: 'account', type: 'nominal', title: 'Client account' },
+      },
+    },
+  };
+}
+
+function historyPlot(daily: readonly DailyUsage[]): Plot {
+  const values = daily.map(({ date, account, acceleratorMs }) => ({
+    ...{ date, account, seconds: acceleratorMs / MS_PER_SECOND },
+  }));
+  return {
+    caption: 'Accelerator seconds by day, as measured',
+    spec: {
+      data: { values },
+      width: 480,
+      mark: 'line',
+      encoding: {
+        x: { field: 'date', type: 'temporal', title: 'Day', timeUnit: 'utcyearmonthdate' },
+        y: { field: 'seconds', type: 'quantitative', aggregate: 'sum', title: 'Accelerator s' },
+        color: { field: 'account', type: 'nominal', title: 'Client account' },
+      },
+    },
+  };
+}
+
+function monthAfter(now: number): string {
+  const date = new Date(now);
+  const first = Date.UTC(date.getUTCFullYear(), date.getUTCMonth() + 1, 1);
+  return new Date(first).toISOString().slice(0, 'YYYY-MM'.length);
+}
--- /dev/null
+++ b/src/common/ledger/UnitCosts.ts
@@ -0,0 +1,183 @@
+import type { Stage, Template } from '../protocol/Configuration.js';
+import { addUsage, NO_USAGE, type Usage } from '../protocol/Usage.js';
+import type { CostLine, DailyUsage } from './CostBook.js';
+import { dayNumber, meanOf } from './DailySeries.js';
+
+/** Days over which the unit cost is taken while it is steady. */
+const UNIT_DAYS = 7;
+/** Days that show the unit cost after a change of the template. */
+const CHANGE_DAYS = 2;
+/** Days before these, which show how much the unit cost varies. */
+const BASELINE_DAYS = 14;
+/** A change must exceed this many standard deviations of the mean and the least ratio. */
+const CHANGE_SD = 4;
+const CHANGE_LEAST = Math.log(1.05);
+/** Relative standard deviation of a unit cost taken from other accounts or from like stages. */
+const BORROWED_SD: Readonly<Record<UnitBasis, number>> = {
+  own: 0,
+  template: 0.2,
+  kind: 0.4,
+  none: 0,
+};
+
+/**
+ * Where a unit cost comes from: the account's own attempts, the same stage of other accounts, like
+ * stages (same kind, pool, model and operation) of other templates, or nothing.
+ */
+export type UnitBasis = 'own' | 'template' | 'kind' | 'none';
+
+/** Usage of one attempt that reached a caller. */
+export interface UnitCost {
+  readonly usage: Usage;
+  readonly basis: UnitBasis;
+  readonly relativeSd: number;
+  /** Accelerator time of overhead over that of useful work. */
+  readonly overheadShare: number;
+}
+
+interface Days {
+  /** Attempts and accelerator ms of useful work by day. */
+  readonly useful: Map<number, { attempts: number; acceleratorMs: number }>;
+  usefulMs: number;
+  overheadMs: number;
+}
+
+/** Unit costs of stages in the last days. */
+export class UnitCosts {
+  private readonly own = new Map<string, Days>();
+
+  private readonly byTemplate = new Map<string, Days>();
+
+  private readonly byKind = new Map<string, Days>();
+
+  private readonly kinds = new Map<string, string>();
+
+  /**
+   * @param recent - usage of the days before today
+   * @param costs - monthly costs
+   * @param templates - published templates
+   * @param today - number of the first day that is not complete
+   */
+  constructor(
+    recent: readonly DailyUsage[],
+    private readonly costs: readonly CostLine[],
+    templates: readonly Template[],
+    private readonly today: number,
+  ) {
+    for (const { name, stages } of templates) {
+      for (const stage of stages) this.kinds.set(key(name, stage.name), kindOf(stage));
+    }
+    for (const usage of recent) {
+      const { account, template, stage } = usage;
+      addDay(this.own, key(account, template, stage), usage);
+      addDay(this.byTemplate, key(template, stage), usage);
+      const kind = this.kinds.get(key(template, stage));
+      if (kind !== undefined) addDay(this.byKind, kind, usage);
+    }
+  }
+
+  /**
+   * @param account - client account
+   * @param template - template name
+   * @param stage - stage as published
+   * @returns unit cost from the nearest work that ran
+   */
+  unitOf(account: string, template: string, stage: Stage): UnitCost {
+    const kind = kindOf(stage);
+    const isStage = (line: CostLine) => line.template === template && line.stage === stage.name;
+    const sources: readonly [UnitBasis, Days | undefined, (line: CostLine) => boolean][] = [
+      [
+        'own',
+        this.own.get(key(account, template, stage.name)),
+        (line) => line.account === account && isStage(line),
+      ],
+      ['template', this.byTemplate.get(key(template, stage.name)), isStage],
+      [
+        'kind',
+        this.byKind.get(kind),
+        (line) => this.kinds.get(key(line.template, line.stage)) === kind,
+      ],
+    ];
+    for (const [basis, days, isSource] of sources) {
+      const recent = days && this.recentUnit(days);
+      if (!days || !recent) continue;
+      const perAttempt = usagePerAttempt(this.costs.filter(isSource));
+      return {
+        usage: { ...perAttempt, acceleratorMs: recent.acceleratorMs },
+        basis,
+        relativeSd: Math.hypot(recent.relativeSd, BORROWED_SD[basis]),
+        overheadShare: days.usefulMs === 0 ? 0 : days.overheadMs / days.usefulMs,
+      };
+    }
+    const usage = { acceleratorMs: 0, tokensIn: 0, tokensOut: 0, calls: 0 };
+    return { usage, basis: 'none', relativeSd: 0, overheadShare: 0 };
+  }
+
+  /** Unit cost of the last week, or of the last two days if these differ clearly from before. */
+  private recentUnit(days: Days): { acceleratorMs: number; relativeSd: number } | null {
+    const newest = Math.max(...days.useful.keys());
+    if (!Number.isFinite(newest) || newest < this.today - BASELINE_DAYS) return null;
+    const end = newest + 1;
+    const changed = unitOver(days, end - CHANGE_DAYS, end);
+    const baseline: number[] = [];
+    for (let day = end - CHANGE_DAYS - BASELINE_DAYS; day < end - CHANGE_DAYS; day += 1) {
+      const unit = unitOver(days, day, day + 1);
+      if (unit) baseline.push(Math.log(unit));
+    }
+    const mean = meanOf(baseline);
+    const sd = Math.sqrt(meanOf(baseline.map((item) => (item - mean) ** 2)));
+    const week = unitOver(days, end - UNIT_DAYS, end);
+    if (!week || !changed) return week ? { acceleratorMs: week, relativeSd: sd } : null;
+    const limit = Math.max(CHANGE_LEAST, (CHANGE_SD * sd) / Math.sqrt(CHANGE_DAYS));
+    const isChanged = baseline.length > 1 && Math.abs(Math.log(changed) - mean) > limit;
+    return isChanged
+      ? { acceleratorMs: changed, relativeSd: sd / Math.sqrt(CHANGE_DAYS) }
+      : { acceleratorMs: week, relativeSd: sd / Math.sqrt(UNIT_DAYS) };
+  }
+}
+
+function unitOver(days: Days, from: number, to: number): number | null {
+  let attempts = 0;
+  let acceleratorMs = 0;
+  for (let day = from; day < to; day += 1) {
+    attempts += days.useful.get(day)?.attempts ?? 0;
+    acceleratorMs += days.useful.get(day)?.acceleratorMs ?? 0;
+  }
+  return attempts === 0 || acceleratorMs === 0 ? null : acceleratorMs / attempts;
+}
+
+function addDay(map: Map<string, Days>, name: string, usage: DailyUsage): void {
+  const days = map.get(name) ?? { useful: new Map(), usefulMs: 0, overheadMs: 0 };
+  map.set(name, days);
+  if (usage.class === 'overhead') {
+    days.overheadMs += usage.acceleratorMs;
+    return;
+  }
+  days.usefulMs += usage.acceleratorMs;
+  const day = dayNumber(usage.date);
+  const known = days.useful.get(day) ?? { attempts: 0, acceleratorMs: 0 };
+  days.useful.set(day, {
+    attempts: known.attempts + usage.attempts,
+    acceleratorMs: known.acceleratorMs + usage.acceleratorMs,
+  });
+}
+
+function kindOf({ kind, pool, model, operation }: Stage): string {
+  return key(kind, pool, model ?? '', operation ?? '');
+}
+
+function key(...parts: readonly string[]): string {
+  return parts.join('\u0000');
+}
+
+/** Tokens and calls of one useful attempt; nothing if there was none. */
+function usagePerAttempt(lines: readonly CostLine[]): Usage {
+  const total = lines.reduce((sum, line) => addUsage(sum, line.useful), NO_USAGE);
+  const attempts = lines.reduce((sum, line) => sum + line.usefulAttempts, 0) || 1;
+  return {
+    acceleratorMs: total.acceleratorMs / attempts,
+    tokensIn: total.tokensIn / attempts,
+    tokensOut: total.tokensOut / attempts,
+    calls: total.calls / attempts,
+  };
+}
--- a/src/common/protocol/Operator.ts
+++ b/src/common/protocol/Operator.ts
@@ -94,6 +94,10 @@
 });
 export type DrainReply = z.infer<typeof DrainReply>;
 
+/** Answer of `GET /v1/operator/ledger`: some rows, and the key to go on after; null at the end. */
+export const LedgerPage = z.object({ rows: z.array(z.unknown()), after: z.string().nullable() });
+export type LedgerPage = z.infer<typeof LedgerPage>;
+
 /** One process in the answer of `GET /v1/operator/status`; `problem` if it did not answer. */
 export type ProcessStatus = {
   readonly id: string;
--- a/src/entry/operator/OperatorApi.ts
+++ b/src/entry/operator/OperatorApi.ts
@@ -10,7 +10,7 @@
 import { publishChange } from './commands/PublishChange.js';
 import { setDraining } from './commands/SetDraining.js';
 import { queryConfiguration } from './queries/ConfigurationQuery.js';
-import { queryCost } from './queries/CostQuery.js';
+import { queryLedger } from './queries/LedgerQuery.js';
 import { queryExplanation } from './queries/ExplanationQuery.js';
 import { queryStatus } from './queries/StatusQuery.js';
 import {
@@ -42,7 +42,7 @@
   { method: 'POST', path: /^servers\/([^/]+)\/drain$/, handle: setDraining(true) },
   { method: 'POST', path: /^servers\/([^/]+)\/resume$/, handle: setDraining(false) },
   { method: 'GET', path: /^configuration$/, handle: queryConfiguration },
-  { method: 'GET', path: /^cost$/, handle: queryCost },
+  { method: 'GET', path: /^ledger$/, handle: queryLedger },
   { method: 'GET', path: /^status$/, handle: queryStatus },
   { method: 'GET', path: /^requests\/([^/]+)$/, handle: queryExplanation },
 ];
--- a/src/ledger/LedgerReader.ts
+++ b/src/ledger/LedgerReader.ts
@@ -3,9 +3,11 @@
 import { LEDGER_TABLE, LedgerRow } from '../common/protocol/Ledger.js';
 import type { PlatformResult, TableStore } from '../platform/Types.js';
 
-/** Rows of one scan; at up to 64 KB a row, an answer stays below 3.2 MB. */
-const PAGE_ROWS = 50;
-const SCAN_TIMEOUT_MS = 5000;
+/** Rows of one scan; at up to 64 KB a row, handling one blocks an entry for a few ms only. */
+export const LEDGER_PAGE_ROWS = 8;
+
+/** Time-out of one scan, in milliseconds. */
+export const LEDGER_SCAN_TIMEOUT_MS = 5000;
 
 /**
  * Reads all rows, page by page in the order of their keys, so that each row is counted once.
@@ -16,13 +18,13 @@
   const book = new CostBook();
   let after: string | undefined;
   for (;;) {
-    const range = { table: LEDGER_TABLE, prefix: '', limit: PAGE_ROWS };
+    const range = { table: LEDGER_TABLE, prefix: '', limit: LEDGER_PAGE_ROWS };
     const page = await store.scan(after === undefined ? range : { ...range, after }, {
-      timeoutMs: SCAN_TIMEOUT_MS,
+      timeoutMs: LEDGER_SCAN_TIMEOUT_MS,
     });
     if (!page.ok) return page;
     for (const row of page.value) book.add(LedgerRow.parse(row.value));
-    if (page.value.length < PAGE_ROWS) return { ok: true, value: book };
+    if (page.value.length < LEDGER_PAGE_ROWS) return { ok: true, value: book };
     after = page.value.at(-1)!.key;
   }
 }
