--- /dev/null
+++ b/src/follower/measure/MeasureMemory.ts
@@ -0,0 +1,86 @@
+/**
+ * Measures the memory and the application time of a configuration:
+ * `node --expose-gc dist/follower/measure/MeasureMemory.js --accounts 270 --templates 19`.
+ * Prints one JSON line.
+ */
+import yargs from 'yargs';
+import { ConfigurationState } from '../../common/configuration/ConfigurationState.js';
+import { Change, type ChangeSubject } from '../../common/protocol/Configuration.js';
+
+const STAGES = 5;
+const TEMPLATES_OF_ACCOUNT = 3;
+const DIGEST_DIGITS = 64;
+
+const words = await yargs(process.argv.slice(2))
+  .option('accounts', { type: 'number', default: 270 })
+  .option('templates', { type: 'number', default: 19 })
+  .option('changes', { type: 'number', default: 500, describe: 'Further changes of accounts' })
+  .strict()
+  .parseAsync();
+
+function heapBytes(): number {
+  if (!global.gc) throw new Error('run with --expose-gc');
+  global.gc();
+  return process.memoryUsage().heapUsed;
+}
+
+const templateOf = (index: number): ChangeSubject => ({
+  kind: 'template',
+  value: {
+    name: `template-${index}`,
+    stages: Array.from({ length: STAGES }, (_, stage) => ({
+      ...{ name: `stage-${stage}`, kind: 'generate', pool: 'engines', model: `model-${stage}` },
+      ...{ idempotent: true, input: { prompt: '$request.text', maxTokens: 64 } },
+      outputSchema: {
+        type: 'object',
+        required: ['text'],
+        properties: { text: { type: 'string' } },
+      },
+    })),
+  },
+});
+
+const accountOf = (index: number): ChangeSubject => ({
+  kind: 'account',
+  value: {
+    ...{ id: `account-${index}`, priority: 5, share: 1 },
+    tokenDigest: String(index).padStart(DIGEST_DIGITS, '0'),
+    templates: Object.fromEntries(
+      Array.from({ length: TEMPLATES_OF_ACCOUNT }, (_, offset) => [
+        `template-${(index + offset) % Math.max(1, words.templates)}`,
+        { deadlineMs: 6000, stages: ['stage-0', 'stage-1', 'stage-2'] },
+      ]),
+    ),
+  },
+});
+
+const state = new ConfigurationState();
+let revision = 0;
+let textBytes = 0;
+const apply = (subject: ChangeSubject): void => {
+  revision += 1;
+  const value = { revision, changeId: `change-${revision}`, author: 'ann', at: revision, subject };
+  const text = JSON.stringify(value);
+  textBytes += text.length;
+  // Parsed from text, as a change that came over the network.
+  const change = Change.parse(JSON.parse(text));
+  state.apply({ after: revision - 1, changes: [change] });
+};
+const before = heapBytes();
+for (let index = 0; index < words.templates; index += 1) apply(templateOf(index));
+for (let index = 0; index < words.accounts; index += 1) apply(accountOf(index));
+const after = heapBytes();
+const averageBytes = Math.round(textBytes / revision);
+const started = process.cpuUsage();
+for (let index = 0; index < words.changes; index += 1) apply(accountOf(index % words.accounts));
+const used = process.cpuUsage(started);
+process.stdout.write(
+  `${JSON.stringify({
+    ...{ accounts: words.accounts, templates: words.templates },
+    heapBytes: after - before,
+    changeTextBytes: averageBytes,
+    cpuUsPerChange: Math.round((used.user + used.system) / Math.max(1, words.changes)),
+    heapBytesAfterChanges: heapBytes() - before,
+    revision: state.snapshot.revision,
+  })}\n`,
+);
--- a/src/ledger/LedgerWriter.test.ts
+++ b/src/ledger/LedgerWriter.test.ts
@@ -3,16 +3,19 @@
 import { LedgerRow } from '../common/protocol/Ledger.js';
 import { FakeTableStore, type TableFault } from '../platform/testing/FakeTableStore.js';
 import { createLogger } from '../telemetry/Logger.js';
+import { SimulatedTime } from '../follower/testing/SimulatedTime.js';
+import type { Timers } from '../follower/Types.js';
 import { LedgerWriter, type UsageRecord } from './LedgerWriter.js';
 
-const createWriter = (store: FakeTableStore) =>
+const createWriter = (store: FakeTableStore, flushIntervalMs = 60_000, timers?: Timers) =>
   new LedgerWriter({
     store,
     clock: { now: () => 0, wallTime: () => Date.UTC(2026, 2, 31) },
     writer: 'agent',
     writerId: 'a1',
     incarnation: 'i1',
-    flushIntervalMs: 60_000,
+    flushIntervalMs,
+    ...(timers && { timers }),
     logger: createLogger('test', 'error'),
   });
 
@@ -26,6 +29,8 @@
   usage: { acceleratorMs: 2, tokensIn: 1, tokensOut: 1, calls: 1 },
 });
 
+const ALL = { table: 'ledger', prefix: '', limit: 1000 };
+
 const totalCalls = (store: FakeTableStore): number =>
   store.table
     .scan({ table: 'ledger', prefix: '', limit: 1000 })
@@ -68,3 +73,19 @@
   assert.equal(totalCalls(store), 5000);
   writer.dispose();
 });
+
+test('an interval writes a bounded number of bytes, and every part in turn', async () => {
+  const store = new FakeTableStore();
+  const time = new SimulatedTime();
+  const writer = createWriter(store, 1000, time.timersOf({ pausedUntilMs: 0 }));
+  for (let stage = 0; stage < 450; stage += 1) writer.record(usage(`s${stage}`));
+  for (let interval = 1; interval <= 6; interval += 1) {
+    await time.advanceTo(interval * 1000);
+    // 75 counters of about 250 bytes: one part fits into 32 KB, a second one does not.
+    assert.equal(store.table.scan(ALL).length, interval);
+    writer.record(usage('s0'));
+  }
+  await time.advanceTo(7000);
+  assert.equal(totalCalls(store), 456);
+  writer.dispose();
+});
--- a/src/ledger/LedgerWriter.ts
+++ b/src/ledger/LedgerWriter.ts
@@ -11,8 +11,15 @@
 const CALL_TIMEOUT_MS = 2000;
 /** Tries of one part in one flush; a part that fails is tried again by the next flush. */
 const TRIES = 3;
-/** Parts written by one flush, so that a busy writer stays within its share of the store's writes. */
-const PARTS_PER_FLUSH = 16;
+/**
+ * Bytes a second that the interval may write. All control traffic of a daemon is to stay below
+ * 6 KB/s; rewriting 200 active counters every 10 s would take up to 13 KB/s at the end of a month.
+ * Parts that do not fit wait for the next interval; the other side of the ledger covers a crash.
+ */
+const BYTES_PER_S = 4500;
+/** Least budget of one interval, so that short ones write whole parts too. */
+const LEAST_BYTES_PER_FLUSH = 32_768;
+const MS_PER_SECOND = 1000;
 
 /** Usage to record. Without `month` the current one is taken; without `attempts` it counts as one. */
 export type UsageRecord = Omit<LedgerEntry, 'month' | 'attempts' | 'days'> &
@@ -73,13 +80,18 @@
   }
 
   /**
-   * Writes the parts that changed. A shutdown calls it until it gives true or time is up.
+   * Writes all parts that changed, whatever their size. A shutdown calls it until it gives true or
+   * time is up.
    * @returns true if nothing is left to be written
    */
-  async flush(): Promise<boolean> {
+  flush(): Promise<boolean> {
+    return this.flushWithin(Infinity);
+  }
+
+  private async flushWithin(budgetBytes: number): Promise<boolean> {
     // Usage recorded during a flush under way needs another one.
     while (this.flushing) await this.flushing;
-    this.flushing = this.writeParts().finally(() => {
+    this.flushing = this.writeParts(budgetBytes).finally(() => {
       this.flushing = null;
     });
     return this.flushing;
@@ -93,16 +105,25 @@
 
   private schedule(): void {
     if (this.disposed) return;
-    this.timer = this.timers.after(this.options.flushIntervalMs, () => {
-      this.flush()
+    const { flushIntervalMs } = this.options;
+    const budgetBytes = Math.max(
+      LEAST_BYTES_PER_FLUSH,
+      (BYTES_PER_S * flushIntervalMs) / MS_PER_SECOND,
+    );
+    this.timer = this.timers.after(flushIntervalMs, () => {
+      this.flushWithin(budgetBytes)
         .catch((error: unknown) => this.options.logger.error('ledger flush failed', error))
         .finally(() => this.schedule());
     });
   }
 
-  private async writeParts(): Promise<boolean> {
-    const parts = this.book.unwritten().slice(0, PARTS_PER_FLUSH);
-    for (const part of parts) {
+  private async writeParts(budgetBytes: number): Promise<boolean> {
+    let bytes = 0;
+    for (const part of this.book.unwritten()) {
+      const size = JSON.stringify(part.entries).length;
+      // The first part is written whatever its size.
+      if (bytes > 0 && bytes + size > budgetBytes) break;
+      bytes += size;
       const written = await this.writePart(part);
       // The store is down or slow: the other parts wait as well.
       if (!written) return false;
