--- a/src/load/bench/BenchCommand.ts
+++ b/src/load/bench/BenchCommand.ts
@@ -77,6 +77,7 @@
     row('doubled', (policy) => policy.doubled),
     row('wrong', (policy) => policy.wrong),
     row('false refusals', (policy) => policy.falseRefusals),
+    ...errorRows(report, row),
     spread('latencyMs'),
     spread('firstTokenMs'),
     spread('betweenTokensMs'),
@@ -86,6 +87,17 @@
   ];
 }
 
+function errorRows(
+  { policies }: BenchReport,
+  row: (name: string, valueOf: (policy: PolicyReport) => number) => string,
+): string[] {
+  const kinds = new Set([
+    ...Object.keys(policies.naive.errors),
+    ...Object.keys(policies.current.errors),
+  ]);
+  return [...kinds].map((kind) => row(`  ${kind}`, (policy) => policy.errors[kind] ?? 0));
+}
+
 function costRows(
   report: BenchReport,
   row: (name: string, valueOf: (policy: PolicyReport) => number) => string,
--- a/src/load/bench/PolicyReport.ts
+++ b/src/load/bench/PolicyReport.ts
@@ -92,9 +92,11 @@
 }
 
 function errorsByKind(judged: readonly Judged[]): Record<string, number> {
-  const kinds = judged.flatMap(({ answer }) =>
-    answer.kind === 'error' ? [`${answer.error.kind}/${answer.error.outcome}`] : [],
-  );
+  const kinds = judged.flatMap(({ answer }) => {
+    if (answer.kind === 'result') return [];
+    if (answer.kind === 'broken') return [`broken: ${answer.message.split(',')[0]}`];
+    return [`${answer.error.kind}/${answer.error.outcome}`];
+  });
   return Object.fromEntries(countBy(kinds, (kind) => kind));
 }
 
--- a/src/load/bench/Types.ts
+++ b/src/load/bench/Types.ts
@@ -50,7 +50,7 @@
   readonly wrong: number;
   /** Answers "not run" to requests of which something ran. */
   readonly falseRefusals: number;
-  /** Errors by kind. */
+  /** Errors by kind and outcome, broken answers by cause. */
   readonly errors: Readonly<Record<string, number>>;
   readonly latencyMs: Percentiles;
   readonly firstTokenMs: Percentiles;
