--- a/src/load/bench/BenchCommand.ts
+++ b/src/load/bench/BenchCommand.ts
@@ -79,6 +79,11 @@
     row('false refusals', (policy) => policy.falseRefusals),
     ...errorRows(report, row),
     spread('latencyMs'),
+    ...Object.keys(policies.current.latencyByTemplateMs).map((template) =>
+      row(`  ${template}`, (policy) =>
+        Object.values(policy.latencyByTemplateMs[template] ?? {}).join('/'),
+      ),
+    ),
     spread('firstTokenMs'),
     spread('betweenTokensMs'),
     row('overhead share', (policy) => policy.overheadShare),
--- a/src/load/bench/PolicyReport.ts
+++ b/src/load/bench/PolicyReport.ts
@@ -39,6 +39,7 @@
     falseRefusals: judged.filter((sample) => sample.isFalseRefusal).length,
     errors: errorsByKind(judged),
     latencyMs: percentiles(attained.map(({ answer }) => answer.latencyMs)),
+    latencyByTemplateMs: latencyByTemplate(attained),
     firstTokenMs: percentiles(attained.flatMap(({ answer }) => answer.chunks[0]?.atMs ?? [])),
     betweenTokensMs: percentiles(attained.flatMap(tokenGaps)),
     ...costFigures(costs, runs),
@@ -91,6 +92,15 @@
   return Object.fromEntries(shares);
 }
 
+function latencyByTemplate(attained: readonly Judged[]): Record<string, Percentiles> {
+  const names = [...new Set(attained.map(({ arrival }) => arrival.traffic.template.name))];
+  const latencies = names.map((name) => {
+    const own = attained.filter(({ arrival }) => arrival.traffic.template.name === name);
+    return [name, percentiles(own.map(({ answer }) => answer.latencyMs))] as const;
+  });
+  return Object.fromEntries(latencies);
+}
+
 function errorsByKind(judged: readonly Judged[]): Record<string, number> {
   const kinds = judged.flatMap(({ answer }) => {
     if (answer.kind === 'result') return [];
--- a/src/load/bench/Types.ts
+++ b/src/load/bench/Types.ts
@@ -53,6 +53,7 @@
   /** Errors by kind and outcome, broken answers by cause. */
   readonly errors: Readonly<Record<string, number>>;
   readonly latencyMs: Percentiles;
+  readonly latencyByTemplateMs: Readonly<Record<string, Percentiles>>;
   readonly firstTokenMs: Percentiles;
   readonly betweenTokensMs: Percentiles;
   /** Accelerator milliseconds by client account and stage. */
