End launched processes when a signal ends the load tool

Cause: a process that dies of SIGTERM, as under a time limit, gives no event `exit`; its children stayed. The launcher now exits on SIGINT, SIGTERM and SIGHUP, which kills them by id.

Also tests arrivals, the judge of answers and the launcher.

--- /dev/null
+++ b/src/load/client/AnswerCheck.test.ts
@@ -0,0 +1,44 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { questionTemplate } from '../deployment/Templates.js';
+import { findWrongAnswer } from './AnswerCheck.js';
+import type { CallerAnswer } from './CallerClient.js';
+import { expectedOutput } from './ExpectedAnswer.js';
+import { SseParser } from './SseParser.js';
+
+const TEMPLATE = questionTemplate('floor-question');
+const INPUT = { question: 'which needle' };
+const { text: WHOLE } = expectedOutput(TEMPLATE, INPUT) as { text: string };
+
+function answerOf(texts: readonly string[], output: unknown = { text: WHOLE }): CallerAnswer {
+  const chunks = texts.map((text, offset) => ({ offset, text, atMs: offset }));
+  const result = { requestId: 'r', output, stages: [] };
+  return { kind: 'result', result, chunks, latencyMs: 1 };
+}
+
+// Guards against a judge that passes answers which are not whole or not the caller's own.
+test('finds wrong, short, repeated and foreign answers and accepts the right one', () => {
+  const [head, tail] = [WHOLE.slice(0, 9), WHOLE.slice(9)];
+  const check = (answer: CallerAnswer) => findWrongAnswer(TEMPLATE, INPUT, answer);
+  assert.equal(check(answerOf([head, tail])), undefined);
+  assert.equal(check(answerOf([])), undefined);
+  assert.match(check(answerOf([], { text: 'other' }))!, /not the right answer/);
+  assert.match(check(answerOf([head]))!, /before the whole text/);
+  assert.match(check(answerOf([head, head, tail]))!, /wrong text/);
+  const { chunks, ...rest } = answerOf([head, tail]);
+  const gap = chunks.map((chunk) => ({ ...chunk, offset: 2 * chunk.offset }));
+  assert.match(check({ ...rest, chunks: gap })!, /chunk 1 of the stream has offset 2/);
+});
+
+// Guards against events that are lost because the network cuts them anywhere.
+test('reads server-sent events however they are cut', () => {
+  const stream = 'event: chunk\ndata: {"offset":0}\n\nevent: result\r\ndata: {}\r\n\r\n: ping\n\n';
+  for (let cut = 0; cut <= stream.length; cut += 1) {
+    const parser = new SseParser();
+    const events = [...parser.push(stream.slice(0, cut)), ...parser.push(stream.slice(cut))];
+    assert.deepEqual(events, [
+      { event: 'chunk', data: '{"offset":0}' },
+      { event: 'result', data: '{}' },
+    ]);
+  }
+});
--- /dev/null
+++ b/src/load/launch/Launcher.test.ts
@@ -0,0 +1,67 @@
+import assert from 'node:assert/strict';
+import { spawn } from 'node:child_process';
+import { once } from 'node:events';
+import { rm } from 'node:fs/promises';
+import { createInterface } from 'node:readline';
+import { test } from 'node:test';
+import { fileURLToPath } from 'node:url';
+import { Launcher } from './Launcher.js';
+import { LOOPBACK, freePorts } from './Ports.js';
+
+async function defineStandin(launcher: Launcher, name: string) {
+  const [port] = await freePorts(1);
+  const services = [{ kind: 'object', name, address: `${LOOPBACK}:${port}` }];
+  return launcher.define(name, 'citronstage-standin', { services });
+}
+
+function isAlive(pid: number): boolean {
+  try {
+    return process.kill(pid, 0);
+  } catch {
+    return false;
+  }
+}
+
+// Guards against processes that outlive a proof, above all frozen ones.
+test('ends running, frozen and restarted processes by their ids', async () => {
+  const launcher = await Launcher.create();
+  const frozen = await defineStandin(launcher, 'frozen');
+  const restarted = await defineStandin(launcher, 'restarted');
+  await Promise.all([frozen.start(), restarted.start()]);
+  assert.ok(frozen.signal('SIGSTOP'));
+  const first = restarted.pid!;
+  await restarted.kill();
+  await restarted.start();
+  const pids = [first, frozen.pid!, restarted.pid!];
+  await launcher.dispose();
+  assert.deepEqual(pids.map(isAlive), [false, false, false]);
+});
+
+// Guards against orphans when a time limit ends the load tool itself.
+test('a signal that ends the load tool ends its processes too', async () => {
+  const launcherFile = new URL('./Launcher.js', import.meta.url).href;
+  const portsFile = new URL('./Ports.js', import.meta.url).href;
+  const script = `
+    const { Launcher } = await import('${launcherFile}');
+    const { freePorts } = await import('${portsFile}');
+    const launcher = await Launcher.create();
+    const [port] = await freePorts(1);
+    const services = [{ kind: 'object', name: 'o', address: '${LOOPBACK}:' + port }];
+    const child = await launcher.define('o', 'citronstage-standin', { services });
+    await child.start();
+    console.log(JSON.stringify({ pid: child.pid, folder: launcher.folder }));`;
+  const parent = spawn(process.execPath, ['--input-type=module', '-e', script], {
+    cwd: fileURLToPath(new URL('.', import.meta.url)),
+  });
+  const [line] = (await once(createInterface({ input: parent.stdout }), 'line')) as [string];
+  const { pid, folder } = JSON.parse(line) as { pid: number; folder: string };
+  parent.kill('SIGTERM');
+  await once(parent, 'exit');
+  for (let turn = 0; turn < 50 && isAlive(pid); turn += 1) {
+    await new Promise((resolve) => {
+      setTimeout(resolve, 20);
+    });
+  }
+  await rm(folder, { recursive: true, force: true });
+  assert.equal(isAlive(pid), false);
+});
--- a/src/load/launch/Launcher.ts
+++ b/src/load/launch/Launcher.ts
@@ -6,6 +6,8 @@
 /** Name of the temporary folder; the operating system adds a random suffix. */
 const FOLDER_PREFIX = 'citronstage-load-';
 
+const ENDING_SIGNALS = ['SIGINT', 'SIGTERM', 'SIGHUP'] as const;
+
 /** Owns a fresh temporary folder and every process started from it, and ends them all by id. */
 export class Launcher {
   private readonly processes = new Map<string, ManagedProcess>();
@@ -14,8 +16,14 @@
     this.processes.forEach((child) => child.signal('SIGKILL'));
   };
 
+  /** A signal ends this process without the event `exit`, so that its children would stay. */
+  private readonly exitOnSignal = (): void => {
+    process.exit(1);
+  };
+
   private constructor(readonly folder: string) {
     process.once('exit', this.killOnExit);
+    ENDING_SIGNALS.forEach((signal) => process.once(signal, this.exitOnSignal));
   }
 
   /** @returns launcher with a folder of its own. */
@@ -67,6 +75,7 @@
   async dispose(keepFolder = false): Promise<void> {
     await Promise.all([...this.processes.values()].map((child) => child.kill()));
     process.off('exit', this.killOnExit);
+    ENDING_SIGNALS.forEach((signal) => process.off(signal, this.exitOnSignal));
     if (!keepFolder) await rm(this.folder, { recursive: true, force: true });
   }
 }
