Judge the end of an orphan by its port in the launcher test

It looked for the process id of the stand-in, but the id of a killed orphan stays in use until the init process reaps it, so `kill(pid, 0)` still succeeds.

Ruled out: that the stand-in goes on running; its port refuses connections. The test now connects to the port before and after the signal, which fails as well if the process survives.

--- a/src/load/launch/Launcher.test.ts
+++ b/src/load/launch/Launcher.test.ts
@@ -2,7 +2,9 @@
 import { spawn } from 'node:child_process';
 import { once } from 'node:events';
 import { rm } from 'node:fs/promises';
+import { connect } from 'node:net';
 import { createInterface } from 'node:readline';
+import { setTimeout as sleep } from 'node:timers/promises';
 import { test } from 'node:test';
 import { fileURLToPath } from 'node:url';
 import { Launcher } from './Launcher.js';
@@ -22,6 +24,18 @@
   }
 }
 
+/** The id of an orphan that ended stays in use until the init process reaps it; its port does not. */
+function isListening(port: number): Promise<boolean> {
+  return new Promise((resolve) => {
+    const socket = connect(port, LOOPBACK);
+    socket.once('connect', () => {
+      socket.destroy();
+      resolve(true);
+    });
+    socket.once('error', () => resolve(false));
+  });
+}
+
 // Guards against processes that outlive a proof, above all frozen ones.
 test('ends running, frozen and restarted processes by their ids', async () => {
   const launcher = await Launcher.create();
@@ -49,19 +63,16 @@
     const services = [{ kind: 'object', name: 'o', address: '${LOOPBACK}:' + port }];
     const child = await launcher.define('o', 'citronstage-standin', { services });
     await child.start();
-    console.log(JSON.stringify({ pid: child.pid, folder: launcher.folder }));`;
+    console.log(JSON.stringify({ port, folder: launcher.folder }));`;
   const parent = spawn(process.execPath, ['--input-type=module', '-e', script], {
     cwd: fileURLToPath(new URL('.', import.meta.url)),
   });
   const [line] = (await once(createInterface({ input: parent.stdout }), 'line')) as [string];
-  const { pid, folder } = JSON.parse(line) as { pid: number; folder: string };
+  const { port, folder } = JSON.parse(line) as { port: number; folder: string };
+  assert.equal(await isListening(port), true);
   parent.kill('SIGTERM');
   await once(parent, 'exit');
-  for (let turn = 0; turn < 50 && isAlive(pid); turn += 1) {
-    await new Promise((resolve) => {
-      setTimeout(resolve, 20);
-    });
-  }
+  for (let turn = 0; turn < 50 && (await isListening(port)); turn += 1) await sleep(20);
   await rm(folder, { recursive: true, force: true });
-  assert.equal(isAlive(pid), false);
+  assert.equal(await isListening(port), false);
 });
