--- a/src/load/LoadCommand.ts
+++ b/src/load/LoadCommand.ts
@@ -73,9 +73,14 @@
         return;
       }
       const { promise, seed, seconds } = options;
+      requireNumbers({ seed }, Number.MIN_SAFE_INTEGER);
+      requireNumbers({ seconds });
       if (promise === undefined || !(promise in PROOFS)) {
         throw new ArgumentError(`expected a promise: ${Object.keys(PROOFS).join(', ')}`);
       }
+      if (options.baseline && PROOFS[promise]!.hasNoBaseline) {
+        throw new ArgumentError(`the baseline has nothing that could break "${promise}"`);
+      }
       const variant = options.baseline ? 'naive' : 'current';
       const proof = { promise, seed, seconds, variant, keepFolder: options.keep } as const;
       const { report, passed } = await prove(proof, progress);
@@ -117,6 +122,8 @@
         .option('load', { type: 'number', default: 0.7, describe: 'multiple of capacity' })
         .option('json', { type: 'boolean', default: false, describe: 'prints JSON only' }),
     async ({ deployment, fault, seed, seconds, load, json }) => {
+      requireNumbers({ seed }, Number.MIN_SAFE_INTEGER);
+      requireNumbers({ seconds, load });
       const report = await runBench({ deployment, fault, seed, seconds, load }, progress);
       if (!json) renderReport(report).forEach(print);
       print(JSON.stringify(report));
@@ -146,6 +153,15 @@
 
 const COMMANDS: readonly CommandAdder[] = [addDemo, addProve, addBench, addMeasure, addNaive];
 
+/** Refuses numbers that are not finite or below the least value; by default only positive ones are taken. */
+function requireNumbers(numbers: Record<string, number>, least = Number.MIN_VALUE): void {
+  Object.entries(numbers).forEach(([name, value]) => {
+    if (!Number.isFinite(value) || value < least) {
+      throw new ArgumentError(`--${name}: expected a ${least > 0 ? 'positive ' : ''}number`);
+    }
+  });
+}
+
 function print(line: string): void {
   process.stdout.write(`${line}\n`);
 }
--- a/src/load/prove/Orders.ts
+++ b/src/load/prove/Orders.ts
@@ -32,8 +32,8 @@
 
 export const ORDERS: Proof = {
   description: 'orders of an agent that lost its lease have no lasting effect',
+  hasNoBaseline: true,
   run: (context) => {
-    if (context.variant === 'naive') throw new Error('the baseline gives no orders');
     const deployment = enginesOnly();
     const agentOf = (server: BackendServer): AgentOverrides => orders(server, '1');
     return withCluster(context, { deployment, relays: false, agentOf }, (cluster) =>
--- a/src/load/prove/Types.ts
+++ b/src/load/prove/Types.ts
@@ -29,6 +29,8 @@
 /** One promise and how it is put to proof. */
 export interface Proof {
   readonly description: string;
+  /** Set if the baseline lacks what the promise is about. */
+  readonly hasNoBaseline?: boolean;
   readonly run: (context: ProofContext) => Promise<ProofOutcome>;
 }
 
