Condense the configuration log, so that starts do not replay it

Change: every 256 changes the publisher writes the last change of every subject to rows of their own, in one transaction that checks the row that names them. A process that lacks more than 500 changes reads these rows, then the rest from the log. A batch of changes copies the maps once.

Ruled out: deleting old changes, because the log tells who changed what; an object in the object store, which would make a start need a second service.

The measurement publishes one change through an entry, and idle figures start 15 s after the start of the process.

--- a/src/common/configuration/ConfigurationState.ts
+++ b/src/common/configuration/ConfigurationState.ts
@@ -1,4 +1,10 @@
-import type { Account, Change, ConfigurationSnapshot } from '../protocol/Configuration.js';
+import type {
+  Account,
+  Change,
+  ConfigurationSnapshot,
+  Server,
+  Template,
+} from '../protocol/Configuration.js';
 
 /**
  * Changes that lead from one revision to another. For every subject changed in between, `changes`
@@ -46,13 +52,20 @@
     const reached = batch.changes.at(-1)?.revision ?? batch.after;
     if (reached <= this.current.revision) return 'known';
     if (batch.after > this.current.revision) return 'gap';
-    let next: ConfigurationSnapshot = { ...this.current, revision: reached };
+    const { templates, accounts, servers } = this.current;
+    // Copied once for a batch: a process that starts may get a batch of many thousand changes.
+    const draft: Draft = {
+      templates: new Map(templates),
+      accounts: new Map(accounts),
+      servers: new Map(servers),
+    };
     for (const change of batch.changes) {
       if (change.revision <= this.current.revision) continue;
       this.lastChanges.set(subjectKey(change), change);
-      next = applySubject(next, change);
+      applySubject(draft, change);
     }
-    this.current = Object.freeze(next);
+    const accountsByToken = byToken(draft.accounts);
+    this.current = Object.freeze({ revision: reached, ...draft, accountsByToken });
     return 'applied';
   }
 
@@ -88,42 +101,32 @@
   }
 }
 
-function applySubject(snapshot: ConfigurationSnapshot, change: Change): ConfigurationSnapshot {
-  const { subject } = change;
+/** Maps of a snapshot while a batch is applied. */
+interface Draft {
+  readonly templates: Map<string, Template>;
+  readonly accounts: Map<string, Account>;
+  readonly servers: Map<string, Server>;
+}
+
+function applySubject(draft: Draft, { subject }: Change): void {
   switch (subject.kind) {
     case 'template':
-      return {
-        ...snapshot,
-        templates: withEntry(snapshot.templates, subject.value.name, subject.value),
-      };
+      draft.templates.set(subject.value.name, subject.value);
+      break;
     case 'template-retired':
-      return { ...snapshot, templates: withoutEntry(snapshot.templates, subject.name) };
+      draft.templates.delete(subject.name);
+      break;
     case 'account':
-      return withAccounts(snapshot, withEntry(snapshot.accounts, subject.value.id, subject.value));
+      draft.accounts.set(subject.value.id, subject.value);
+      break;
     case 'account-retired':
-      return withAccounts(snapshot, withoutEntry(snapshot.accounts, subject.name));
+      draft.accounts.delete(subject.name);
+      break;
     default:
-      return {
-        ...snapshot,
-        servers: withEntry(snapshot.servers, subject.value.id, subject.value),
-      };
+      draft.servers.set(subject.value.id, subject.value);
   }
 }
 
-function withAccounts(
-  snapshot: ConfigurationSnapshot,
-  accounts: ReadonlyMap<string, Account>,
-): ConfigurationSnapshot {
-  const byToken = [...accounts.values()].map((account) => [account.tokenDigest, account] as const);
-  return { ...snapshot, accounts, accountsByToken: new Map(byToken) };
-}
-
-function withEntry<V>(map: ReadonlyMap<string, V>, key: string, value: V): ReadonlyMap<string, V> {
-  return new Map(map).set(key, value);
-}
-
-function withoutEntry<V>(map: ReadonlyMap<string, V>, key: string): ReadonlyMap<string, V> {
-  const copy = new Map(map);
-  copy.delete(key);
-  return copy;
+function byToken(accounts: ReadonlyMap<string, Account>): ReadonlyMap<string, Account> {
+  return new Map([...accounts.values()].map((account) => [account.tokenDigest, account] as const));
 }
--- a/src/follower/ChangeLog.ts
+++ b/src/follower/ChangeLog.ts
@@ -9,7 +9,7 @@
 import type { PlatformResult, TableStore } from '../platform/Types.js';
 
 /** Rows of one scan. */
-const SCAN_LIMIT = 500;
+export const SCAN_LIMIT = 500;
 
 /** Address of the head row. */
 export const HEAD_ADDRESS = { table: CONFIGURATION_TABLE, key: CONFIGURATION_HEAD_KEY };
--- a/src/follower/ConfigurationFollower.ts
+++ b/src/follower/ConfigurationFollower.ts
@@ -10,7 +10,8 @@
 import type { Clock, RandomSource } from '../common/time/Types.js';
 import type { TableStore } from '../platform/Types.js';
 import type { Logger } from '../telemetry/Logger.js';
-import { readChanges, readHead } from './ChangeLog.js';
+import { SCAN_LIMIT, readChanges, readHead } from './ChangeLog.js';
+import { readCondensed } from './CondensedLog.js';
 import { SystemTimers } from './SystemTimers.js';
 import { withTimeout } from './Timeout.js';
 import type { ConfigurationPeer, ConfigurationSource, Timers } from './Types.js';
@@ -45,6 +46,8 @@
   readonly timers?: Timers;
   /** Time-out of one read of the store, in milliseconds; 500 by default. */
   readonly readTimeoutMs?: number;
+  /** Missing changes from which the condensed log is read first; one scan of the log by default. */
+  readonly condensedFrom?: number;
 }
 
 /** Follows the configuration through the store, through peers and through notices on messages. */
@@ -196,6 +199,7 @@
     const askedAtMs = clock.now();
     const head = await readHead(store, this.readTimeoutMs);
     if (!head.ok) return false;
+    await this.readCondensedLog(head.value.revision);
     const after = this.state.snapshot.revision;
     if (head.value.revision > after) {
       const changes = await readChanges(store, after, head.value.revision, this.readTimeoutMs);
@@ -209,6 +213,14 @@
     return true;
   }
 
+  /** Skips most of a long log. What it lacks, or all if it can't be read, comes from the log. */
+  private async readCondensedLog(head: number): Promise<void> {
+    const { store, condensedFrom = SCAN_LIMIT } = this.options;
+    if (head - this.state.snapshot.revision <= condensedFrom) return;
+    const condensed = await readCondensed(store, this.readTimeoutMs);
+    if (condensed.ok && condensed.value) this.take({ after: 0, changes: condensed.value });
+  }
+
   private async pollPeers(): Promise<void> {
     const { peers, logger } = this.options;
     const known = await withTimeout(peers(), this.timers, PEER_TIMEOUT_MS).catch(() => []);
--- a/src/follower/ConfigurationModel.test.ts
+++ b/src/follower/ConfigurationModel.test.ts
@@ -131,6 +131,7 @@
           })),
       logger,
       timers: time.timersOf(self),
+      condensedFrom: 2,
     });
     follower.onChange((snapshot) => self.history.push({ atMs: time.now(), snapshot }));
     processes.push(Object.assign(self, { follower }));
@@ -156,6 +157,8 @@
         notifier: notifierOf(self),
         logger,
         timers: time.timersOf(self),
+        // Small, so that processes that start late or were cut off read the condensed log.
+        condenseInterval: 3,
       }),
   );
   const begin = (item: Scenario['events'][number], index: number): void => {
--- a/src/follower/ConfigurationPublisher.ts
+++ b/src/follower/ConfigurationPublisher.ts
@@ -9,6 +9,7 @@
 import type { TableStore } from '../platform/Types.js';
 import type { Logger } from '../telemetry/Logger.js';
 import { HEAD_ADDRESS, readChange, readHead, type Head } from './ChangeLog.js';
+import { readCondensedHead, writeCondensed } from './CondensedLog.js';
 import { SystemTimers } from './SystemTimers.js';
 import type {
   ChangeNotifier,
@@ -24,6 +25,12 @@
 /** Pause before the second try; doubled before each later one. */
 const FIRST_PAUSE_MS = 100;
 
+/**
+ * Changes after which the log is condensed again. At 560 changes a day that is twice a day, and a
+ * process that starts reads at most this many changes besides the condensed log.
+ */
+const CONDENSE_INTERVAL_CHANGES = 256;
+
 /** Options of {@link ConfigurationPublisher}. */
 export interface ConfigurationPublisherOptions {
   readonly store: TableStore;
@@ -37,6 +44,8 @@
   readonly timers?: Timers;
   /** Time-out of one call of the store, in milliseconds; 1000 by default. */
   readonly callTimeoutMs?: number;
+  /** Changes after which the log is condensed again; 256 by default. */
+  readonly condenseInterval?: number;
 }
 
 /** Publishes changes by compare-and-swap of the head row. */
@@ -163,9 +172,21 @@
     const { source, notifier, logger } = this.options;
     source.notify([change]).catch((error: unknown) => logger.error('own notice failed', error));
     notifier.notify([change]).catch((error: unknown) => logger.warn('notices failed', error));
+    this.condense().catch((error: unknown) => logger.warn('condensing failed', error));
     return { ok: true, change };
   }
 
+  /** Writes the last change of every subject, so that a new process need not read the whole log. */
+  private async condense(): Promise<void> {
+    const { store, source, condenseInterval = CONDENSE_INTERVAL_CHANGES } = this.options;
+    const head = await readCondensedHead(store, this.timeoutMs);
+    // The batch from revision 0 has the last change of every subject; all are committed.
+    const { changes } = await source.since(0);
+    const revision = changes.at(-1)?.revision ?? 0;
+    if (!head.ok || revision - head.value.revision < condenseInterval) return;
+    await writeCondensed(store, head.value, changes, this.timeoutMs);
+  }
+
   private pause(delayMs: number): Promise<void> {
     return new Promise((resolve) => {
       this.timers.after(delayMs, resolve);
--- a/src/load/measure/runs/IdleCost.ts
+++ b/src/load/measure/runs/IdleCost.ts
@@ -7,6 +7,8 @@
 
 /** Lengths of the observation, in seconds; the line leaves the cost of the start out. */
 const SECONDS = [4, 8, 12];
+/** Time after the start in which code is compiled and caches fill. */
+const WARM_UP_MS = 15_000;
 const MEGABYTE = 1_048_576;
 const MS_PER_SECOND = 1000;
 
@@ -17,11 +19,14 @@
     const base = await empty.collected();
     const emptySeries = await observe('empty process', empty, base.rssBytes);
     await empty.stop();
-    return Rig.with({ deployment: measuredDeployment() }, async (rig) => [
-      emptySeries,
-      await observe('entry', rig.entry, base.rssBytes),
-      await observe('agent', rig.agents.get('desk')!, base.rssBytes),
-    ]);
+    return Rig.with({ deployment: measuredDeployment() }, async (rig) => {
+      await sleep(WARM_UP_MS);
+      return [
+        emptySeries,
+        await observe('entry', rig.entry, base.rssBytes),
+        await observe('agent', rig.agents.get('desk')!, base.rssBytes),
+      ];
+    });
   },
 };
 
--- a/src/load/measure/runs/StartCost.ts
+++ b/src/load/measure/runs/StartCost.ts
@@ -1,5 +1,7 @@
 /** Start of a process, over the length of the configuration log. */
+import { setTimeout as sleep } from 'node:timers/promises';
 import type { ChangeSubject } from '../../../common/protocol/Configuration.js';
+import { publish } from '../../client/OperatorClient.js';
 import { accountSubject, appendChanges } from '../ConfigurationLog.js';
 import { measuredDeployment } from '../MeasuredDeployment.js';
 import { bytesBetween } from '../ProbedProcess.js';
@@ -10,6 +12,9 @@
 /** Accounts that the changes of the log are about. */
 const ACCOUNTS = 270;
 const TEMPLATES = ['three-stages', 'five-stages', 'deposit'];
+/** Time for the running entry to read the appended changes. */
+const CATCH_UP_MS = 40_000;
+const RETRY_MS = 500;
 const MEGABYTE = 1_048_576;
 
 export const start: Measurement = {
@@ -19,8 +24,9 @@
       const points: Point[] = [];
       let written = 0;
       for (const length of LOG_LENGTHS) {
-        await appendChanges(rig.table.address, subjectsOf(written, length));
+        const head = await appendChanges(rig.table.address, subjectsOf(written, length));
         written = length;
+        await publishOne(rig, head);
         const startedAt = performance.now();
         const started = await rig.startProcess('entry', rig.entrySettings());
         await whenReady(started.address);
@@ -44,6 +50,18 @@
     }),
 };
 
+/** Publishes as operators do, so that whatever a publisher maintains besides the log exists. */
+async function publishOne(rig: Rig, head: number): Promise<void> {
+  const giveUpAt = performance.now() + CATCH_UP_MS;
+  for (;;) {
+    const answer = await publish(rig.entryAddress, head, subjectAt(0));
+    if (answer.status === 200) break;
+    if (performance.now() > giveUpAt) throw new Error(JSON.stringify(answer));
+    await sleep(RETRY_MS);
+  }
+  await sleep(RETRY_MS);
+}
+
 function subjectsOf(first: number, end: number): ChangeSubject[] {
   return Array.from({ length: end - first }, (_unused, position) => subjectAt(first + position));
 }
--- a/src/load/measure/runs/StateCost.ts
+++ b/src/load/measure/runs/StateCost.ts
@@ -13,6 +13,8 @@
 const KILOBYTE = 1024;
 /** Longer than the poll intervals of entry and agent. */
 const SETTLE_MS = 5000;
+/** Time after the start in which code is compiled and caches fill. */
+const WARM_UP_MS = 15_000;
 const CHANGE_RATES = [0, 10, 40];
 const CHANGE_SECONDS = 8;
 const MS_PER_SECOND = 1000;
@@ -42,7 +44,7 @@
         accountSubject(`account-${index}`, TEMPLATE_NAMES),
       );
       await appendChanges(rig.table.address, known);
-      await sleep(SETTLE_MS);
+      await sleep(WARM_UP_MS);
       const points: Point[] = [];
       for (const rate of CHANGE_RATES) {
         const before = await sampleBoth(rig);
