--- /dev/null
+++ b/src/agent/AttemptEndpoint.test.ts
@@ -0,0 +1,93 @@
+import assert from 'node:assert/strict';
+import { createServer } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { after, before, test } from 'node:test';
+import { Gate } from '../common/gate/Gate.js';
+import { createAttempt } from '../common/gate/testing/AttemptFixture.js';
+import type { RevisionNotice } from '../common/protocol/Attempt.js';
+import type { ConfigurationSource } from '../follower/Types.js';
+import { SystemClock } from '../platform/SystemClock.js';
+import { createLogger } from '../telemetry/Logger.js';
+import { AttemptEndpoint } from './AttemptEndpoint.js';
+import { GateActor } from './GateActor.js';
+import { submitAttempt } from './testing/AgentFixture.js';
+
+const REVISION = 7;
+const NOTICE = { revision: REVISION, confirmedAgeMs: 1 };
+
+/** Knows revision 7 for a time that the test chooses. */
+const configuration = {
+  knownForMs: 0,
+  heard: [] as RevisionNotice[],
+  notice: () => NOTICE,
+  newerKnownForMs: (revision: number) => (revision < REVISION ? configuration.knownForMs : 0),
+  hear: (notice: RevisionNotice) => {
+    configuration.heard.push(notice);
+  },
+};
+
+const gate = new Gate({ slots: 1, maxWaiting: 10, retentionMs: 1000 }, new SystemClock());
+const actor = new GateActor(
+  gate,
+  (effect) => {
+    const end = { kind: 'unreachable', message: '' } as const;
+    if (effect.kind === 'run') actor.send({ type: 'run-ended', entry: effect.entry, end });
+  },
+  createLogger('test', 'error'),
+);
+const endpoint = new AttemptEndpoint({
+  gate: actor,
+  configuration: configuration as unknown as ConfigurationSource,
+  frames: { incarnation: 'i', notice: () => NOTICE, load: () => gate.load() },
+  pullFrom: () => async () => [],
+});
+const server = createServer((request, response) => {
+  endpoint.handle(request, response).catch(() => response.destroy());
+});
+
+before(
+  () =>
+    new Promise<void>((resolve) => {
+      server.listen(0, '127.0.0.1', resolve);
+    }),
+);
+
+after(() => {
+  server.close();
+  server.closeAllConnections();
+  endpoint.dispose();
+  actor.dispose();
+});
+
+async function submitAt(revision: number, knownForMs: number) {
+  configuration.knownForMs = knownForMs;
+  const attempt = createAttempt({ notice: { revision, confirmedAgeMs: null } });
+  const { port } = server.address() as AddressInfo;
+  return (await submitAttempt(`127.0.0.1:${port}`, attempt)).at(-1)!;
+}
+
+test('an entry that is behind for more than 4 s gets no new work done (it must catch up)', async () => {
+  const refused = await submitAt(REVISION - 1, 4001);
+  assert.ok(refused.type === 'refused');
+  assert.equal(refused.reason, 'stale-revision');
+  assert.deepEqual(refused.notice, NOTICE, 'the entry learns the newer revision');
+  assert.equal((await submitAt(REVISION - 1, 3999)).type, 'failed', 'handed over');
+  assert.equal((await submitAt(REVISION, 4001)).type, 'failed', 'handed over');
+});
+
+test('the agent hears of newer revisions from attempts', async () => {
+  configuration.heard = [];
+  await submitAt(REVISION + 1, 0);
+  assert.deepEqual(
+    configuration.heard.map(({ revision }) => revision),
+    [REVISION + 1],
+  );
+});
+
+test('an input of a wrong shape is refused before it can be claimed', async () => {
+  const { port } = server.address() as AddressInfo;
+  const attempt = createAttempt({ kind: 'encode', input: { text: 1 } });
+  const [refused] = await submitAttempt(`127.0.0.1:${port}`, attempt);
+  assert.ok(refused?.type === 'refused');
+  assert.equal(refused.reason, 'invalid');
+});
