Do not count tries that reached no server

A pool whose servers all restart refuses connections for about a second. Six tries took 150 ms, so requests failed that had seconds left. Tries that reached no agent, or no backend server, now only pause (50 ms, doubled up to 400 ms) until the deadline. A new test restarts the only agent of a pool for 700 ms.

--- a/src/entry/Entry.test.ts
+++ b/src/entry/Entry.test.ts
@@ -134,3 +134,16 @@
   assert.equal(await entry.stop(), true);
   assert.equal((await answer).status, 200);
 });
+
+test('a request outlasts the restart of all servers of a pool', async () => {
+  const agent = await startAgent('a', runChain);
+  const { url } = await start({ agents: [agent], templates: [CHAIN] });
+  const port = Number(agent.address.split(':')[1]);
+  await agent.close();
+  const answer = post(url, 'chain', { text: 'x' });
+  await new Promise((resolve) => {
+    setTimeout(resolve, 700);
+  });
+  await agent.listen(port);
+  assert.equal((await answer).status, 200);
+});
--- a/src/entry/RefusalActions.ts
+++ b/src/entry/RefusalActions.ts
@@ -19,6 +19,8 @@
    * holds now.
    */
   readonly mayBeOld: boolean;
+  /** False if the refusal says nothing about the server's willingness, so that the try does not count. */
+  readonly reachedServer?: boolean;
 }
 
 /** Reasons that are not listed concern one server only. */
@@ -27,7 +29,18 @@
 const ACTIONS: Readonly<Partial<Record<RefusalReason, RefusalAction>>> = {
   infeasible: { kind: 'try-next', failure: 'infeasible', mayBeOld: true },
   'queue-full': { kind: 'try-next', failure: 'overloaded', mayBeOld: true },
-  'stale-revision': { kind: 'try-again', failure: 'unavailable', mayBeOld: true },
+  'stale-revision': {
+    kind: 'try-again',
+    failure: 'unavailable',
+    mayBeOld: true,
+    reachedServer: false,
+  },
+  'backend-unavailable': {
+    kind: 'try-next',
+    failure: 'unavailable',
+    mayBeOld: true,
+    reachedServer: false,
+  },
   claimed: { kind: 'settle', failure: 'outcome-unknown', mayBeOld: false },
   'claim-unavailable': { kind: 'fail', failure: 'unavailable', mayBeOld: true },
   'attempt-mismatch': { kind: 'new-id', failure: 'idempotency-key-reused', mayBeOld: false },
--- a/src/entry/StageRun.ts
+++ b/src/entry/StageRun.ts
@@ -18,11 +18,15 @@
   StageTask,
 } from './Types.js';
 
-/** Attempts of one stage. Candidate sets have 8 servers; more tries rarely meet a better one. */
+/**
+ * Attempts of one stage that a server turned down or failed. Candidate sets have 8 servers; more tries
+ * rarely meet a better one. Attempts that reached no server do not count.
+ */
 const MAX_TRIES = 6;
 
-/** Pause before servers that were tried are tried again, in ms; doubled each time. */
+/** Pause before servers that were tried are tried again, in ms; doubled each time up to the maximum. */
 const RETRY_PAUSE_MS = 50;
+const MAX_RETRY_PAUSE_MS = 400;
 
 /** Characters of the prompt that select the engine; a block of a typical prefix cache is about as long. */
 const AFFINITY_PREFIX_LENGTH = 256;
@@ -48,6 +52,8 @@
 
   private tries = 0;
 
+  private uncountedTries = 0;
+
   /** True if derived attempt ids are in use for another input or were refused. */
   private randomIds = false;
 
@@ -69,7 +75,7 @@
     if (problem) return this.fail('bad-request', `input of stage "${stage.name}": ${problem}`);
     this.services.retries.earn();
     while (!context.signal.aborted) {
-      if (this.tries >= MAX_TRIES) return this.failLast();
+      if (this.tries - this.uncountedTries >= MAX_TRIES) return this.failLast();
       const choice = this.route();
       if (!choice) {
         if (!(await this.pause())) return this.failLast();
@@ -174,6 +180,7 @@
         return this.retryAfterFailure(`agent can't be reached: ${end.message}`, false);
       case 'not-sent':
         this.noteFailure('unavailable', `agent can't be reached: ${end.message}`);
+        this.uncountedTries += 1;
         return null;
       default:
         return null;
@@ -214,6 +221,7 @@
 
   private takeRefusal(frame: RefusedFrame): Promise<Step> | Step {
     const action = actionAfter(frame.reason);
+    if (action.reachedServer === false) this.uncountedTries += 1;
     if (action.mayBeOld && this.usesDerivedIds()) {
       this.noteFailure(action.failure, frame.message, frame.retryAfterMs);
       this.randomIds = true;
@@ -298,7 +306,7 @@
 
   /** @returns false if there is no time or no reason to wait for servers. */
   private async pause(): Promise<boolean> {
-    const waitMs = RETRY_PAUSE_MS * 2 ** this.pauses;
+    const waitMs = Math.min(MAX_RETRY_PAUSE_MS, RETRY_PAUSE_MS * 2 ** this.pauses);
     const remainingMs = this.task.context.deadlineAt - this.services.clock.now();
     if (waitMs >= remainingMs) return false;
     this.pauses += 1;
