Do not cut answers that are still being sent at shutdown

Cause: closing Node's HTTP server destroys connections it takes for idle, and a connection whose answer was ended but not yet sent counts as idle. An 8 MB answer to a slow caller was cut. In addition a request counted as finished when its pipeline had ended, 25 ms before all connections were destroyed.

Now only the listening socket is closed, answers carry 'connection: close', and a request is in progress until its answer was handed to the network. A new test reads a large answer 300 ms after the start of the shutdown; it failed before with 'aborted'.

--- a/src/entry/CallerApi.ts
+++ b/src/entry/CallerApi.ts
@@ -12,7 +12,7 @@
 import { CallerResponse } from './CallerResponse.js';
 import { readBody } from './HttpBody.js';
 import { executeRequest } from './RequestActor.js';
-import type { AbandonReason, Failure, RequestContext, RequestEnd, StageExecutor } from './Types.js';
+import type { AbandonReason, Failure, RequestContext, StageExecutor } from './Types.js';
 
 /** Longest wait of a request for the first configuration: one poll and one retry of the store. */
 const STARTUP_WAIT_MS = 2000;
@@ -54,6 +54,7 @@
   async handle(request: IncomingMessage, response: ServerResponse): Promise<boolean> {
     const template = PATH.exec(request.url ?? '')?.[1];
     if (template === undefined) return false;
+    this.track(response);
     const answer = new CallerResponse(request, response);
     const refusal = await this.serve(request, decodePath(template), answer);
     if (refusal) {
@@ -158,38 +159,34 @@
     };
     telemetry.decide(null, 'admit', `revision ${revision}, deadline ${checked.deadlineMs} ms`);
     answer.accept(requestId);
-    const end = await this.track(() =>
-      executeRequest(
-        this.system,
-        {
-          context,
-          plan: checked.plan,
-          input: checked.input,
-          onChunk: (offset, text) => {
-            telemetry.noteChunk();
-            answer.chunk(offset, text);
-          },
+    const end = await executeRequest(
+      this.system,
+      {
+        context,
+        plan: checked.plan,
+        input: checked.input,
+        onChunk: (offset, text) => {
+          telemetry.noteChunk();
+          answer.chunk(offset, text);
         },
-        this.options.executor,
-      ),
+      },
+      this.options.executor,
     );
     clearTimeout(deadline);
     telemetry.finish(end);
     answer.finish(requestId, end);
   }
 
-  private async track(run: () => Promise<RequestEnd>): Promise<RequestEnd> {
+  /** A request is in progress until its answer was handed to the network or the caller is gone. */
+  private track(response: ServerResponse): void {
     this.running += 1;
-    try {
-      return await run();
-    } finally {
+    response.once('close', () => {
       this.running -= 1;
-      if (this.running === 0) {
-        const listeners = this.idleListeners;
-        this.idleListeners = [];
-        listeners.forEach((listener) => listener());
-      }
-    }
+      if (this.running > 0) return;
+      const listeners = this.idleListeners;
+      this.idleListeners = [];
+      listeners.forEach((listener) => listener());
+    });
   }
 }
 
--- a/src/entry/Entry.test.ts
+++ b/src/entry/Entry.test.ts
@@ -1,4 +1,5 @@
 import assert from 'node:assert/strict';
+import { request as sendRequest, type IncomingMessage } from 'node:http';
 import { afterEach, test } from 'node:test';
 import { FakeAgent, type Behaviour } from './testing/FakeAgent.js';
 import { errorOf, post, startEntry, TOKEN, type TestEntryOptions } from './testing/fixtures.js';
@@ -147,3 +148,24 @@
   await agent.listen(port);
   assert.equal((await answer).status, 200);
 });
+
+test('shutdown does not cut an answer that a slow caller is still reading', async () => {
+  const found = 'x'.repeat(4_000_000);
+  const agent = await startAgent('a', () => ({ kind: 'run', output: { found, text: found } }));
+  const { url, entry } = await start({ agents: [agent], templates: [CHAIN] });
+  const answer = await new Promise<IncomingMessage>((resolve) => {
+    const headers = { authorization: `Bearer ${TOKEN}` };
+    sendRequest(`${url}/v1/pipelines/chain/requests`, { method: 'POST', headers }, resolve).end(
+      JSON.stringify({ input: { text: 'x' } }),
+    );
+  });
+  cleanUps.pop();
+  const stopped = entry.stop();
+  await new Promise((resolve) => {
+    setTimeout(resolve, 300);
+  });
+  let bytes = 0;
+  for await (const part of answer) bytes += (part as Buffer).length;
+  assert.ok(bytes > 2 * found.length, `${bytes}`);
+  assert.equal(await stopped, true);
+});
--- a/src/entry/Entry.ts
+++ b/src/entry/Entry.ts
@@ -21,8 +21,8 @@
 import { StageRunner } from './StageRunner.js';
 import type { UsageRecorder } from './Types.js';
 
-/** Time for connections to become idle after their last answer. */
-const POLL_INTERVAL_MS = 25;
+/** Time for answers to other processes of the system to be sent after the last request has ended. */
+const LAST_ANSWERS_MS = 25;
 
 /** Retries allowed before any budget is earned: a restarted entry may meet failing servers at once. */
 const INITIAL_RETRIES = 10;
@@ -146,23 +146,17 @@
     const { shutdown } = this.options.settings;
     this.stopping = true;
     await sleep(shutdown.balancerDelayMs);
-    const closed = this.server.close();
+    this.server.stopListening();
     const finished = await Promise.race([
       this.callers.whenIdle().then(() => true),
       sleep(shutdown.deadlineMs).then(() => false),
     ]);
-    if (!finished) this.server.closeAllConnections();
-    await Promise.race([closed, this.closeIdleConnections()]);
+    await sleep(LAST_ANSWERS_MS);
+    this.server.closeAllConnections();
     await this.dispose();
     return finished;
   }
 
-  private async closeIdleConnections(): Promise<void> {
-    // A connection that becomes idle after close() was called is not closed by it.
-    await sleep(POLL_INTERVAL_MS);
-    this.server.closeAllConnections();
-  }
-
   private async dispose(): Promise<void> {
     if (this.probeTimer) clearInterval(this.probeTimer);
     this.callers.dispose();
--- a/src/entry/EntryServer.ts
+++ b/src/entry/EntryServer.ts
@@ -1,6 +1,6 @@
 import { createHash, timingSafeEqual } from 'node:crypto';
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import type { AddressInfo } from 'node:net';
+import { Server as NetServer, type AddressInfo } from 'node:net';
 import { nodeHTTPRequestHandler } from '@trpc/server/adapters/node-http';
 import { INTERNAL_TOKEN_HEADER, TRPC_PATH } from '../common/protocol/Control.js';
 import type { Logger } from '../telemetry/Logger.js';
@@ -31,6 +31,8 @@
 export class EntryServer {
   private readonly server: Server;
 
+  private closing = false;
+
   private readonly routes: readonly (readonly [prefix: string, handler: Handler])[];
 
   constructor(private readonly options: EntryServerOptions) {
@@ -61,13 +63,13 @@
       : `${bound.address}:${bound.port}`;
   }
 
-  /** Takes no more connections, closes idle ones and resolves when all are closed. */
-  async close(): Promise<void> {
-    const closed = new Promise<void>((resolve) => {
-      this.server.close(() => resolve());
-    });
-    this.server.closeIdleConnections();
-    await closed;
+  /**
+   * Takes no more connections; answers on open ones ask the client to close them. The `close` of the
+   * HTTP server is not used: it destroys connections whose answer was ended but not yet sent.
+   */
+  stopListening(): void {
+    this.closing = true;
+    NetServer.prototype.close.call(this.server);
   }
 
   /** Breaks all connections. */
@@ -76,6 +78,7 @@
   }
 
   private async route(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    if (this.closing) response.setHeader('connection', 'close');
     const path = (request.url ?? '').split('?')[0]!;
     const route = this.routes.find(([prefix]) =>
       prefix.endsWith('/') ? path.startsWith(prefix) : path === prefix,
