--- a/src/load/bench/BenchCommand.ts
+++ b/src/load/bench/BenchCommand.ts
@@ -77,7 +77,13 @@
     row('doubled', (policy) => policy.doubled),
     row('wrong', (policy) => policy.wrong),
     row('false refusals', (policy) => policy.falseRefusals),
+    ...errorRows(report, row),
     spread('latencyMs'),
+    ...Object.keys(policies.current.latencyByTemplateMs).map((template) =>
+      row(`  ${template}`, (policy) =>
+        Object.values(policy.latencyByTemplateMs[template] ?? {}).join('/'),
+      ),
+    ),
     spread('firstTokenMs'),
     spread('betweenTokensMs'),
     row('overhead share', (policy) => policy.overheadShare),
@@ -86,6 +92,17 @@
   ];
 }
 
+function errorRows(
+  { policies }: BenchReport,
+  row: (name: string, valueOf: (policy: PolicyReport) => number) => string,
+): string[] {
+  const kinds = new Set([
+    ...Object.keys(policies.naive.errors),
+    ...Object.keys(policies.current.errors),
+  ]);
+  return [...kinds].map((kind) => row(`  ${kind}`, (policy) => policy.errors[kind] ?? 0));
+}
+
 function costRows(
   report: BenchReport,
   row: (name: string, valueOf: (policy: PolicyReport) => number) => string,
--- a/src/load/bench/Types.ts
+++ b/src/load/bench/Types.ts
@@ -50,9 +50,10 @@
   readonly wrong: number;
   /** Answers "not run" to requests of which something ran. */
   readonly falseRefusals: number;
-  /** Errors by kind. */
+  /** Errors by kind and outcome, broken answers by cause. */
   readonly errors: Readonly<Record<string, number>>;
   readonly latencyMs: Percentiles;
+  readonly latencyByTemplateMs: Readonly<Record<string, Percentiles>>;
   readonly firstTokenMs: Percentiles;
   readonly betweenTokensMs: Percentiles;
   /** Accelerator milliseconds by client account and stage. */
