Count refusals of repeated sends apart from false refusals

The first send of a job claim ran, its entry was killed, and the repeated send was refused as not run during a store outage. The repeated send itself did not run, so the answer is true of that request; it says nothing of the earlier one.

--- a/src/load/bench/BenchCommand.ts
+++ b/src/load/bench/BenchCommand.ts
@@ -77,6 +77,7 @@
     row('doubled', (policy) => policy.doubled),
     row('wrong', (policy) => policy.wrong),
     row('false refusals', (policy) => policy.falseRefusals),
+    row('refused after earlier run', (policy) => policy.refusedAfterEarlierRun),
     ...errorRows(report, row),
     spread('latencyMs'),
     ...Object.keys(policies.current.latencyByTemplateMs).map((template) =>
--- a/src/load/bench/LoadRunner.ts
+++ b/src/load/bench/LoadRunner.ts
@@ -41,13 +41,16 @@
   arrival: Arrival,
   finished: Set<Sample>,
 ): Promise<Sample> {
-  const sample = { arrival, answer: await send(cluster, arrival) };
+  const sample = { arrival, ...(await send(cluster, arrival)) };
   finished.add(sample);
   return sample;
 }
 
 /** Sends a request; after a broken connection again through the next entry while there is time. */
-async function send(cluster: Cluster, arrival: Arrival): Promise<CallerAnswer> {
+async function send(
+  cluster: Cluster,
+  arrival: Arrival,
+): Promise<{ answer: CallerAnswer; sends: number }> {
   const { entries } = cluster;
   const { deadlineMs } = arrival.traffic;
   const startedAt = performance.now();
@@ -67,5 +70,5 @@
     answer = { ...answer, latencyMs: performance.now() - startedAt };
     hop += 1;
   } while (answer.kind === 'broken' && hop <= entries.length && answer.latencyMs < deadlineMs);
-  return answer;
+  return { answer, sends: hop };
 }
--- a/src/load/bench/Types.ts
+++ b/src/load/bench/Types.ts
@@ -27,7 +27,10 @@
 /** An arrival with what came back. */
 export interface Sample {
   readonly arrival: Arrival;
+  /** Last answer. */
   readonly answer: CallerAnswer;
+  /** Sends, the repeated ones after broken connections included. */
+  readonly sends: number;
 }
 
 /** Percentiles in milliseconds. */
@@ -50,6 +53,8 @@
   readonly wrong: number;
   /** Answers "not run" to requests of which something ran. */
   readonly falseRefusals: number;
+  /** Answers "not run" to a repeated send of a key whose earlier send had run and got no answer. */
+  readonly refusedAfterEarlierRun: number;
   /** Errors by kind and outcome, broken answers by cause. */
   readonly errors: Readonly<Record<string, number>>;
   readonly latencyMs: Percentiles;
