Bound platform calls that wait for a connection; show the configuration's age

Ruled out: exceptions in the poll (nothing was logged), the fault injector (the agent answered all the time), gaps in the log (later polls fill them). Now the time-out ends the call itself. Also: one warning when the store has not confirmed the configuration for 5 s, and gauges configuration_revision and configuration_confirmed_age_ms.

--- a/src/agent/AgentProcess.ts
+++ b/src/agent/AgentProcess.ts
@@ -14,6 +14,7 @@
 import { HttpTableStore } from '../platform/HttpTableStore.js';
 import { SystemClock } from '../platform/SystemClock.js';
 import { createLogger, type Logger } from '../telemetry/Logger.js';
+import { observeConfiguration } from '../follower/ConfigurationMetrics.js';
 import { createMetrics } from '../telemetry/Metrics.js';
 import { createTracing } from '../telemetry/Tracing.js';
 import { AgentServer } from './AgentServer.js';
@@ -223,6 +224,7 @@
     const { identity, claims, backend, ledger, clock, logger } = this;
     const meter = new UsageMeter(identity, clock);
     const telemetry = new AttemptTelemetry(this.tracing, this.metrics, clock);
+    observeConfiguration(this.metrics.meter, this.configuration);
     telemetry.observe(this.gate);
     const runner = new AttemptRunner(
       { identity, claims, backend, meter, ledger, telemetry, logger },
--- a/src/entry/Entry.ts
+++ b/src/entry/Entry.ts
@@ -4,6 +4,7 @@
 import { forecastStages } from '../common/routing/Feasibility.js';
 import { RetryBudget } from '../common/routing/RetryBudget.js';
 import { Router } from '../common/routing/Router.js';
+import { observeConfiguration } from '../follower/ConfigurationMetrics.js';
 import type { ConfigurationSource } from '../follower/Types.js';
 import type { MembershipList, ObjectStore, TableStore } from '../platform/Types.js';
 import type { Logger } from '../telemetry/Logger.js';
@@ -103,6 +104,7 @@
       ledger: options.ledger,
     });
     this.telemetry = new EntryTelemetry(clock, options.tracing, options.metrics);
+    observeConfiguration(options.metrics.meter, options.configuration);
     this.callers = new CallerApi({
       entryId: settings.id,
       clock,
--- a/src/follower/ConfigurationFollower.ts
+++ b/src/follower/ConfigurationFollower.ts
@@ -32,6 +32,9 @@
 /** Times of learning that are kept for {@link ConfigurationFollower.newerKnownForMs}. */
 const LEARNED_LIMIT = 256;
 
+/** Time without an answer of the store after which operators are warned; the bound of a change. */
+const UNCONFIRMED_WARNING_MS = 5000;
+
 /** Options of {@link ConfigurationFollower}. */
 export interface ConfigurationFollowerOptions {
   readonly store: TableStore;
@@ -79,11 +82,16 @@
 
   private disposed = false;
 
+  private completedAtMs: number;
+
+  private isWarned = false;
+
   readonly onChange = this.changed.event;
 
   constructor(private readonly options: ConfigurationFollowerOptions) {
     this.timers = options.timers ?? new SystemTimers();
     this.readTimeoutMs = options.readTimeoutMs ?? 500;
+    this.completedAtMs = options.clock.now();
   }
 
   /**
@@ -173,9 +181,26 @@
       this.pollAgain = false;
       complete = await this.poll();
     } while (this.pollAgain && !this.disposed);
+    this.logConfirmation(complete);
     this.schedule(complete);
   }
 
+  /** Writes one line when the store has not answered for long, and one when it answers again. */
+  private logConfirmation(complete: boolean): void {
+    const { clock, logger } = this.options;
+    const { revision } = this.state.snapshot;
+    const silentMs = Math.round(clock.now() - this.completedAtMs);
+    if (complete) {
+      if (this.isWarned)
+        logger.info('store confirms the configuration again', { revision, silentMs });
+      this.isWarned = false;
+      this.completedAtMs = clock.now();
+    } else if (!this.isWarned && silentMs > UNCONFIRMED_WARNING_MS) {
+      logger.warn('store does not confirm the configuration', { revision, silentMs });
+      this.isWarned = true;
+    }
+  }
+
   private schedule(complete: boolean): void {
     if (this.disposed) return;
     const { pollIntervalMs, random } = this.options;
--- a/src/platform/HttpCaller.ts
+++ b/src/platform/HttpCaller.ts
@@ -60,19 +60,9 @@
     const { agent } = this;
     const abort = new AbortController();
     const timer = setTimeout(() => abort.abort(), options.timeoutMs);
+    const exchange = this.exchange(agent, call, abort.signal);
     try {
-      const response = await agent.request({
-        origin: this.origin,
-        path: this.pathPrefix + call.path,
-        method: call.method,
-        body: call.body,
-        headers: headersOf(call),
-        signal: abort.signal,
-      });
-      const text = await readText(response);
-      const { etag } = response.headers;
-      const tag = typeof etag === 'string' ? { etag } : {};
-      return resultOf(call, { status: response.statusCode, text, ...tag });
+      return resultOf(call, await Promise.race([exchange, rejectOnAbort(abort.signal)]));
     } catch (error) {
       if (abort.signal.aborted) {
         this.replaceAgent(agent);
@@ -82,6 +72,8 @@
       return isConnectError(error) ? unavailable(message) : failure(call, message);
     } finally {
       clearTimeout(timer);
+      // An exchange that lost the race is aborted and fails later, unobserved.
+      exchange.catch(() => undefined);
     }
   }
 
@@ -90,6 +82,21 @@
     return this.agent.destroy();
   }
 
+  private async exchange(agent: Agent, call: HttpCall, signal: AbortSignal): Promise<HttpAnswer> {
+    const response = await agent.request({
+      origin: this.origin,
+      path: this.pathPrefix + call.path,
+      method: call.method,
+      body: call.body,
+      headers: headersOf(call),
+      signal,
+    });
+    const text = await readText(response);
+    const { etag } = response.headers;
+    const tag = typeof etag === 'string' ? { etag } : {};
+    return { status: response.statusCode, text, ...tag };
+  }
+
   /**
    * Leaves the connections of an agent on which a call timed out. The other idle connections may
    * have gone silent with the first, and each would cost one more time-out. Calls in progress on
@@ -102,6 +109,16 @@
   }
 }
 
+/**
+ * undici looks at the signal of a call that waits for a connection only once it gets one, which may
+ * never happen. Such a call is not sent any more then.
+ */
+function rejectOnAbort(signal: AbortSignal): Promise<never> {
+  return new Promise((_resolve, reject) => {
+    signal.addEventListener('abort', () => reject(new Error('timed out')), { once: true });
+  });
+}
+
 function createAgent(): Agent {
   // The time-out of the call bounds headers and body, so undici's own time-outs are off.
   return new Agent({
--- a/src/telemetry/Metrics.ts
+++ b/src/telemetry/Metrics.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Meter } from '@opentelemetry/api';
 import { PrometheusExporter } from '@opentelemetry/exporter-prometheus';
+import { resourceFromAttributes } from '@opentelemetry/resources';
 import { MeterProvider } from '@opentelemetry/sdk-metrics';
 
 /** Metrics of one process. */
@@ -19,7 +20,10 @@
  */
 export function createMetrics(): Metrics {
   const exporter = new PrometheusExporter({ preventServerStart: true });
-  const provider = new MeterProvider({ readers: [exporter] });
+  const provider = new MeterProvider({
+    resource: resourceFromAttributes({ 'service.name': 'citronstage' }),
+    readers: [exporter],
+  });
   return {
     meter: provider.getMeter('citronstage'),
     handle: (request, response) => exporter.getMetricsRequestHandler(request, response),
