Retry non-idempotent stages after a store outage, within the retry budget

A stage refused with claim-unavailable did not run and was failed at once, although many outages end before the deadline. It is now tried again after 300 ms, doubled each time, as long as the deadline and the retry budget allow it.

--- a/src/entry/Claims.test.ts
+++ b/src/entry/Claims.test.ts
@@ -220,3 +220,17 @@
     assert.equal(derived.size, 1);
   }
 });
+
+test('a deposit outlasts a short outage of the store, but not one past its deadline', async () => {
+  for (const outageMs of [250, 5000]) {
+    const from = performance.now();
+    const agent = await startAgent('a', () =>
+      performance.now() - from < outageMs ? { kind: 'refuse', reason: 'claim-unavailable' } : RUN,
+    );
+    const { url } = await start({ agents: [agent] });
+    const { status, body } = await post(url, 'deposit', { sum: 5 }, KEY);
+    assert.equal(status, outageMs === 250 ? 200 : 503);
+    if (status === 503) assert.equal(errorOf(body).outcome, 'not-run');
+    assert.ok(performance.now() - from < 2000);
+  }
+});
--- a/src/entry/RefusalActions.ts
+++ b/src/entry/RefusalActions.ts
@@ -5,12 +5,13 @@
 /**
  * - `try-next`: another server may take it.
  * - `try-again`: the same server may take it a little later.
+ * - `wait`: the store that all servers need is down; it may be back before the deadline.
  * - `new-id`: the attempt id is in use for another input.
  * - `settle`: another attempt holds the claim.
  * - `fail`: no server will take it.
  */
 export interface RefusalAction {
-  readonly kind: 'try-next' | 'try-again' | 'new-id' | 'settle' | 'fail';
+  readonly kind: 'try-next' | 'try-again' | 'wait' | 'new-id' | 'settle' | 'fail';
   /** Error that the caller gets if the request fails because of it. */
   readonly failure: CallerErrorKind;
   /**
@@ -42,7 +43,12 @@
     reachedServer: false,
   },
   claimed: { kind: 'settle', failure: 'outcome-unknown', mayBeOld: false },
-  'claim-unavailable': { kind: 'fail', failure: 'unavailable', mayBeOld: true },
+  'claim-unavailable': {
+    kind: 'wait',
+    failure: 'unavailable',
+    mayBeOld: true,
+    reachedServer: false,
+  },
   'attempt-mismatch': { kind: 'new-id', failure: 'idempotency-key-reused', mayBeOld: false },
   'idempotency-key-reused': {
     kind: 'fail',
--- a/src/entry/StageRun.ts
+++ b/src/entry/StageRun.ts
@@ -2,8 +2,9 @@
 import type { Claim } from '../common/protocol/Claim.js';
 import type { Outcome } from '../common/protocol/CallerError.js';
 import { NO_USAGE } from '../common/protocol/Usage.js';
-import type { RouteChoice, RoutedServer, RouteRequest } from '../common/routing/Types.js';
+import type { RouteChoice, RoutedServer } from '../common/routing/Types.js';
 import { createAttemptId, deriveAttemptId } from './AttemptId.js';
+import { placementOf } from './Placement.js';
 import { actionAfter, type RefusalAction } from './RefusalActions.js';
 import { raceWithHedge, type EndedAttempt } from './HedgeRace.js';
 import { SentAttempt } from './SentAttempt.js';
@@ -28,8 +29,8 @@
 const RETRY_PAUSE_MS = 50;
 const MAX_RETRY_PAUSE_MS = 400;
 
-/** Characters of the prompt that select the engine; a block of a typical prefix cache is about as long. */
-const AFFINITY_PREFIX_LENGTH = 256;
+/** Pause before a stage that needs the store is tried again during an outage; doubled each time. */
+const STORE_PAUSE_MS = 300;
 
 /** Digits of an attempt id in explanations; enough to find it in an agent's log. */
 const ATTEMPT_LABEL_LENGTH = 12;
@@ -48,6 +49,8 @@
 
   private pauses = 0;
 
+  private storePauses = 0;
+
   private replacesClaim: Claim | undefined;
 
   private tries = 0;
@@ -234,6 +237,7 @@
         return null;
       },
       'try-again': () => this.tryAgain(frame),
+      wait: () => this.waitForStore(frame),
       'new-id': () => {
         if (!this.task.stage.idempotent) return this.fail('idempotency-key-reused', frame.message);
         this.randomIds = true;
@@ -253,6 +257,19 @@
     return null;
   }
 
+  /** Budgeted, because all non-idempotent requests of an outage would come again at its end. */
+  private async waitForStore(frame: RefusedFrame): Promise<Step> {
+    this.noteFailure('unavailable', frame.message, frame.retryAfterMs);
+    const waitMs = STORE_PAUSE_MS * 2 ** this.storePauses;
+    const remainingMs = this.task.context.deadlineAt - this.services.clock.now();
+    if (waitMs >= remainingMs || !this.services.retries.trySpend()) return this.failLast();
+    this.task.context.decide(this.task.stage.name, 'retry', `in ${waitMs} ms: ${frame.message}`);
+    this.storePauses += 1;
+    this.tried.clear();
+    await this.sleep(waitMs);
+    return null;
+  }
+
   private async settleClaim(frame: RefusedFrame): Promise<Step> {
     const { stage, context } = this.task;
     if (!frame.claim || context.idempotencyKey === undefined) {
@@ -360,22 +377,3 @@
     return this.task.stage.idempotent || finished ? 'ran' : 'unknown';
   }
 }
-
-/**
- * Requests with a key go to the key's first candidate, so that a caller's retry joins them there;
- * prompts with the same start go to one engine, which has that start in its cache.
- */
-function placementOf({
-  context,
-  stage,
-  input,
-}: StageTask): Pick<RouteRequest, 'key' | 'placement'> {
-  if (context.idempotencyKey !== undefined) {
-    return { key: `${context.account.id}/${context.idempotencyKey}`, placement: 'sticky' };
-  }
-  if (stage.kind === 'generate' && typeof input.prompt === 'string') {
-    const prefix = input.prompt.slice(0, AFFINITY_PREFIX_LENGTH);
-    return { key: `${stage.model ?? ''}/${prefix}`, placement: 'affinity' };
-  }
-  return { key: context.requestId, placement: 'spread' };
-}
