Wait out store outages without charging the retry budget

Pauses now end at 800 ms. Such a retry reaches no backend server, and agents write claims of many attempts in one transaction, so the budget, which protects servers, is not charged.

--- a/src/entry/StageRun.ts
+++ b/src/entry/StageRun.ts
@@ -31,6 +31,7 @@
 
 /** Pause before a stage that needs the store is tried again during an outage; doubled each time. */
 const STORE_PAUSE_MS = 300;
+const MAX_STORE_PAUSE_MS = 800;
 
 /** Digits of an attempt id in explanations; enough to find it in an agent's log. */
 const ATTEMPT_LABEL_LENGTH = 12;
@@ -257,12 +258,15 @@
     return null;
   }
 
-  /** Budgeted, because all non-idempotent requests of an outage would come again at its end. */
+  /**
+   * Not charged to the retry budget: nothing reaches a backend server, and the agents, of which few take
+   * non-idempotent stages, write the claims of many attempts in one transaction.
+   */
   private async waitForStore(frame: RefusedFrame): Promise<Step> {
     this.noteFailure('unavailable', frame.message, frame.retryAfterMs);
-    const waitMs = STORE_PAUSE_MS * 2 ** this.storePauses;
+    const waitMs = Math.min(MAX_STORE_PAUSE_MS, STORE_PAUSE_MS * 2 ** this.storePauses);
     const remainingMs = this.task.context.deadlineAt - this.services.clock.now();
-    if (waitMs >= remainingMs || !this.services.retries.trySpend()) return this.failLast();
+    if (waitMs >= remainingMs) return this.failLast();
     this.task.context.decide(this.task.stage.name, 'retry', `in ${waitMs} ms: ${frame.message}`);
     this.storePauses += 1;
     this.tried.clear();
