--- a/src/agent/AttemptEndpoint.test.ts
+++ b/src/agent/AttemptEndpoint.test.ts
@@ -19,6 +19,7 @@
 const configuration = {
   knownForMs: 0,
   heard: [] as RevisionNotice[],
+  ready: true,
   notice: () => NOTICE,
   newerKnownForMs: (revision: number) => (revision < REVISION ? configuration.knownForMs : 0),
   hear: (notice: RevisionNotice) => {
@@ -91,3 +92,10 @@
   assert.ok(refused?.type === 'refused');
   assert.equal(refused.reason, 'invalid');
 });
+
+test('before the first configuration no work is taken (the server may be drained)', async () => {
+  configuration.ready = false;
+  const end = await submitAt(REVISION, 0);
+  configuration.ready = true;
+  assert.equal(end.type, 'refused');
+});
--- a/src/agent/AttemptEndpoint.ts
+++ b/src/agent/AttemptEndpoint.ts
@@ -18,6 +18,8 @@
 const STATUS_BAD_REQUEST = 400;
 const STATUS_TOO_LARGE = 413;
 
+const NOT_CONFIGURED = refusal('stale-revision', 'the configuration is not known here yet');
+
 /** Services of {@link AttemptEndpoint}. */
 export interface AttemptEndpointServices {
   readonly gate: GateActor;
@@ -87,6 +89,8 @@
       return endedStream(refusal('invalid', problem));
     }
     configuration.hear(attempt.notice, pullFrom(attempt));
+    // Until the first configuration it is not known whether the server is drained.
+    if (!configuration.ready) return endedStream(NOT_CONFIGURED);
     const stale = configuration.newerKnownForMs(attempt.notice.revision) > STALE_REVISION_MS;
     const { operation, input } = attempt;
     const inputDigest = sha256(canonicalJson({ operation, input }));
--- a/src/agent/backend/BackendClient.ts
+++ b/src/agent/backend/BackendClient.ts
@@ -1,4 +1,5 @@
 import { Pool, type Dispatcher } from 'undici';
+import { isConnectError } from '../../common/ConnectError.js';
 import type { Attempt } from '../../common/protocol/Attempt.js';
 import {
   ATTEMPT_ID_HEADER,
@@ -16,9 +17,6 @@
 /** Time for the engine to confirm that a completion was cancelled. */
 const CANCEL_TIMEOUT_MS = 500;
 
-/** System calls that fail before any byte of the call was sent. */
-const CONNECTING_CALLS: ReadonlySet<unknown> = new Set(['connect', 'getaddrinfo']);
-
 /** Errors of the backend layer. */
 export type BackendError =
   /** No byte of the call was sent. */
@@ -156,19 +154,11 @@
  */
 export function classify(error: unknown, signal: AbortSignal): BackendError {
   const message = error instanceof Error ? error.message : String(error);
-  // The code alone does not tell: an established connection can also end with EHOSTUNREACH.
   if (isConnectError(error)) return { kind: 'unreachable', message };
   if (signal.aborted) return { kind: 'aborted', message: String(signal.reason) };
   return { kind: 'lost', message };
 }
 
-/** Node.js gives one error per address tried if a host name has several. */
-function isConnectError(error: unknown): boolean {
-  if (error instanceof AggregateError) return error.errors.every(isConnectError);
-  const { code, syscall } = error as { code?: unknown; syscall?: unknown };
-  return CONNECTING_CALLS.has(syscall) || code === 'UND_ERR_CONNECT_TIMEOUT';
-}
-
 function headersOf(attempt: Attempt): Record<string, string> {
   const headers: Record<string, string> = {
     'content-type': 'application/json',
--- a/src/agent/testing/AgentFixture.ts
+++ b/src/agent/testing/AgentFixture.ts
@@ -1,4 +1,5 @@
 /** Agents over stand-ins, and a client that speaks the entry's side of the protocol. */
+import { setTimeout as sleep } from 'node:timers/promises';
 import { createTRPCClient, httpLink } from '@trpc/client';
 import { request } from 'undici';
 import { ATTEMPT_PATH, Frame, type Attempt } from '../../common/protocol/Attempt.js';
@@ -11,6 +12,8 @@
 
 export const TEST_TOKEN = 'test-internal-token';
 
+const READY_POLL_MS = 10;
+
 /** Running stand-ins by name. */
 export interface Standins {
   /** @returns base URL of a service */
@@ -116,6 +119,7 @@
   const settings = AgentSettings.parse(settingsOf(standins, backend, fields));
   const process = new AgentProcess(settings);
   const { address, incarnation } = await process.start();
+  await waitUntilReady(address);
   return {
     address,
     incarnation,
@@ -125,6 +129,16 @@
   };
 }
 
+/** Attempts are refused until the agent knows the configuration. */
+async function waitUntilReady(address: string): Promise<void> {
+  for (;;) {
+    const { statusCode, body } = await request(`http://${address}/readyz`);
+    await body.dump();
+    if (statusCode === 200) return;
+    await sleep(READY_POLL_MS);
+  }
+}
+
 /**
  * @param address - agent
  * @param attempt - attempt to send
--- a/src/cli/OperatorClient.ts
+++ b/src/cli/OperatorClient.ts
@@ -1,5 +1,6 @@
 import { request } from 'undici';
 import { z } from 'zod';
+import { isConnectError } from '../common/ConnectError.js';
 import { OPERATOR_PATH, OperatorError } from '../common/protocol/Operator.js';
 import type { CliResult, OperatorConnection } from './Types.js';
 
@@ -26,32 +27,37 @@
   constructor(private readonly options: OperatorClientOptions) {}
 
   async call(method: 'GET' | 'POST', path: string, body?: unknown): Promise<CliResult<unknown>> {
-    let result = await this.callAny(method, path, body);
-    for (let attempt = 1; attempt < AMBIGUOUS_TRIES; attempt += 1) {
-      if (result.ok || result.error.kind !== 'refused') return result;
-      if (result.error.error.kind !== 'ambiguous') return result;
-      result = await this.callAny(method, path, body);
+    let mayHaveChanged = false;
+    for (let attempt = 1; ; attempt += 1) {
+      const { result, isUncertain } = await this.callAny(method, path, body);
+      mayHaveChanged ||= method === 'POST' && isUncertain;
+      const error = !result.ok && result.error.kind === 'refused' ? result.error.error : null;
+      if (error?.kind !== 'ambiguous' || attempt === AMBIGUOUS_TRIES) {
+        return mayHaveChanged && error?.kind === 'unavailable' ? ambiguous(error.message) : result;
+      }
+      mayHaveChanged = true;
     }
-    return result;
   }
 
   private async callAny(
     method: 'GET' | 'POST',
     path: string,
     body: unknown,
-  ): Promise<CliResult<unknown>> {
+  ): Promise<{ result: CliResult<unknown>; isUncertain: boolean }> {
     const reasons: string[] = [];
+    let isUncertain = false;
     for (let round = 0; round < ROUNDS; round += 1) {
       for (const entry of this.options.entries) {
         try {
-          return await this.callOne(entry, method, path, body);
+          return { result: await this.callOne(entry, method, path, body), isUncertain };
         } catch (error) {
+          isUncertain ||= !isConnectError(error);
           reasons.push(`${entry}: ${error instanceof Error ? error.message : String(error)}`);
         }
       }
     }
     const message = `no entry answered (${[...new Set(reasons)].join('; ')})`;
-    return { ok: false, error: { kind: 'unreachable', message } };
+    return { result: { ok: false, error: { kind: 'unreachable', message } }, isUncertain };
   }
 
   private async callOne(
@@ -73,3 +79,10 @@
     return { ok: false, error: { kind: 'refused', error, messages: [error.message] } };
   }
 }
+
+/** An earlier try may have taken effect, so a later refusal for want of the store proves nothing. */
+function ambiguous(message: string): CliResult<never> {
+  const text = `an earlier try may have taken effect (${message})`;
+  const error = { kind: 'ambiguous', message: text } as const;
+  return { ok: false, error: { kind: 'refused', error, messages: [text] } };
+}
--- a/src/common/gate/FairQueue.ts
+++ b/src/common/gate/FairQueue.ts
@@ -78,6 +78,25 @@
     return true;
   }
 
+  /**
+   * Finds a waiting attempt that a full queue gives up for a new one, so that one account's burst does
+   * not keep the others out.
+   * @param attempt - account and weight of the new attempt
+   * @returns latest deadline of the account with the most attempts for its weight; undefined if the new
+   *   attempt's own account would have as many
+   */
+  findDisplaceable(attempt: { account: string; weight: number }): GateEntry | undefined {
+    const own = this.lanes.get(attempt.account)?.entries.length ?? 0;
+    let most = (own + 1) / attempt.weight;
+    let found: GateEntry | undefined;
+    for (const { entries, weight } of this.lanes.values()) {
+      if (entries.length / weight <= most) continue;
+      most = entries.length / weight;
+      found = entries.at(-1);
+    }
+    return found;
+  }
+
   /** @returns all waiting attempts, in no particular order. */
   entries(): GateEntry[] {
     return [...this.lanes.values()].flatMap((lane) => lane.entries);
--- a/src/common/gate/Gate.test.ts
+++ b/src/common/gate/Gate.test.ts
@@ -117,6 +117,16 @@
   assert.equal(reasonOf(submit({}, true).stream), 'stale-revision');
 });
 
+test('a full queue makes room for an account below its share (a flood must not lock others out)', () => {
+  const { submit } = createFixture(1, 4);
+  submit({ account: 'flood' });
+  const flood = [1, 2, 3, 4].map(() => submit({ account: 'flood' }));
+  const other = submit({ account: 'other' });
+  assert.equal(other.stream.outcome, null, 'the other account waits');
+  assert.equal(flood.filter(({ stream }) => reasonOf(stream) === 'queue-full').length, 1);
+  assert.equal(reasonOf(submit({ account: 'flood' }).stream), 'queue-full');
+});
+
 test('a drain refuses what waits or claims, and a claim got afterwards is given up', () => {
   const { submit, gate, entriesOf, take } = createFixture(2);
   const claiming = submit({ idempotent: false, idempotencyKey: 'key' });
--- a/src/common/gate/Gate.ts
+++ b/src/common/gate/Gate.ts
@@ -4,12 +4,18 @@
 import type { Clock } from '../time/Types.js';
 import type { AttemptStream } from './AttemptStream.js';
 import { GateEntry } from './GateEntry.js';
+import { NON_IDEMPOTENT_GRACE_MS, VOIDED_RETENTION_MS } from './Limits.js';
 import {
+  DRAINING,
   INFEASIBLE,
+  KEY_MISSING,
   MISMATCH,
+  STALE_REVISION,
+  VOIDED,
   endedStream,
   failure,
   failureOfRun,
+  queueFull,
   outcomeOfClaim,
   refusal,
   successOfReplay,
@@ -27,18 +33,6 @@
   RunEnd,
 } from './Types.js';
 
-/**
- * A non-idempotent run is not stopped at its deadline, because its outcome is still wanted. After this
- * much more time without an answer its outcome is given as unknown and its slot is freed.
- */
-const NON_IDEMPOTENT_GRACE_MS = 30_000;
-
-/**
- * An attempt that was voided or refused must not run if a delayed copy arrives. Linux sends data of a
- * closed connection again for about 100 s, and for up to 16 minutes if the connection was not closed.
- */
-const VOIDED_RETENTION_MS = 20 * 60_000;
-
 /**
  * States of all attempts of one backend server. Does no I/O: methods change state, and
  * {@link Gate.takeEffects} gives what the owner has to do. All calls come from one actor.
@@ -180,15 +174,14 @@
    * @returns state after the call
    */
   voidAttempt(attemptId: string): AttemptStatus['state'] {
-    const voided = refusal('voided', 'voided before it ran');
     const entry = this.entries.get(attemptId);
     if (!entry) {
       const retired = this.retired.get(attemptId);
       if (retired) return retired.state;
-      this.retired.add(attemptId, { state: 'voided', inputDigest: null, refusal: voided });
+      this.retired.add(attemptId, { state: 'voided', inputDigest: null, refusal: VOIDED });
       return 'voided';
     }
-    if (!entry.ended && entry.state !== 'running') this.withdraw(entry, voided);
+    if (!entry.ended && entry.state !== 'running') this.withdraw(entry, VOIDED);
     return entry.status;
   }
 
@@ -264,7 +257,7 @@
   drain(): void {
     this.drained = true;
     for (const entry of this.schedule.notHandedOver()) {
-      this.withdraw(entry, refusal('draining', 'the server is draining'));
+      this.withdraw(entry, DRAINING);
     }
   }
 
@@ -311,17 +304,22 @@
 
   private refusalAtArrival(entry: GateEntry, stale: boolean): Refusal | null {
     const { attempt } = entry;
-    if (!attempt.idempotent && attempt.idempotencyKey === undefined) {
-      return refusal('invalid', 'a non-idempotent attempt needs an idempotency key');
-    }
-    if (this.drained) return refusal('draining', 'the server is draining');
-    if (stale) return refusal('stale-revision', 'the sender has to catch up first');
-    if (this.schedule.waiting >= this.options.maxWaiting) {
-      return refusal('queue-full', 'too many attempts wait', { retryAfterMs: this.load().waitMs });
+    if (!attempt.idempotent && attempt.idempotencyKey === undefined) return KEY_MISSING;
+    if (this.drained) return DRAINING;
+    if (stale) return STALE_REVISION;
+    if (this.schedule.waiting >= this.options.maxWaiting && !this.displaceFor(attempt)) {
+      return queueFull(this.load().waitMs);
     }
     return this.isFeasible(entry, this.schedule.expectedWaitMs(entry)) ? null : INFEASIBLE;
   }
 
+  /** @returns true if a waiting attempt of an account above its share was refused instead */
+  private displaceFor(attempt: Attempt): boolean {
+    const displaced = this.schedule.findDisplaceable(attempt);
+    if (displaced) this.withdraw(displaced, queueFull(this.load().waitMs));
+    return displaced !== undefined;
+  }
+
   private isFeasible(entry: GateEntry, waitMs = 0): boolean {
     return this.clock.now() + waitMs + this.schedule.fastMs(entry.attempt) < entry.deadline;
   }
--- a/src/common/gate/Outcomes.ts
+++ b/src/common/gate/Outcomes.ts
@@ -55,6 +55,24 @@
 /** The attempt cannot be done in time. */
 export const INFEASIBLE = refusal('infeasible', 'the attempt cannot finish within its deadline');
 
+/**
+ * @param retryAfterMs - expected time until the queue has room, in milliseconds
+ * @returns refusal of an attempt for which the queue has no room
+ */
+export function queueFull(retryAfterMs: number): Refusal {
+  return refusal('queue-full', 'too many attempts wait', { retryAfterMs });
+}
+
+/** Without a key nothing could keep the attempt from running twice. */
+export const KEY_MISSING = refusal('invalid', 'a non-idempotent attempt needs an idempotency key');
+
+export const DRAINING = refusal('draining', 'the server is draining');
+
+/** The sender acts on an old configuration. */
+export const STALE_REVISION = refusal('stale-revision', 'the sender has to catch up first');
+
+export const VOIDED = refusal('voided', 'voided before it ran');
+
 /** The attempt id stands for other work here. */
 export const MISMATCH = refusal('attempt-mismatch', 'the attempt id is in use for other work');
 
--- a/src/common/gate/Schedule.ts
+++ b/src/common/gate/Schedule.ts
@@ -71,6 +71,14 @@
     return this.serviceTimes.fastMs(workKey(attempt));
   }
 
+  /**
+   * @param attempt - attempt that arrives at a full queue
+   * @returns waiting attempt to give up for it, if any
+   */
+  findDisplaceable(attempt: Attempt): GateEntry | undefined {
+    return this.queue.findDisplaceable(attempt);
+  }
+
   /** @param entry - attempt that starts to wait */
   enqueue(entry: GateEntry): void {
     this.queue.add(entry);
--- a/src/common/routing/OutlierEjection.ts
+++ b/src/common/routing/OutlierEjection.ts
@@ -109,7 +109,9 @@
   private mayEject(pool: PoolStates, reason: Ejection['reason']): boolean {
     const ejected = [...pool.keys()].filter((agentId) => this.isEjected(agentId)).length;
     const limit = reason === 'unreachable' ? 1 - MIN_USABLE_SHARE : MAX_EJECTED_SHARE;
-    return ejected + 1 <= Math.floor(limit * pool.size);
+    // 30% of three servers is less than one, and a slow one of three is worth leaving.
+    const least = pool.size >= MIN_SERVERS ? 1 : 0;
+    return ejected + 1 <= Math.max(least, Math.floor(limit * pool.size));
   }
 }
 
--- a/src/entry/AttemptConnection.ts
+++ b/src/entry/AttemptConnection.ts
@@ -1,20 +1,12 @@
 import { EventEmitter } from 'node:events';
 import type { Dispatcher } from 'undici';
+import { isConnectError } from '../common/ConnectError.js';
 import { ATTEMPT_PATH, SILENCE_TIMEOUT_MS, type Frame } from '../common/protocol/Attempt.js';
 import { FrameReader } from './FrameReader.js';
 import type { AttemptEnd } from './Types.js';
 
 const MAX_ERROR_LENGTH = 200;
 
-/** Errors that show that a connection was never made, so nothing was sent on it. */
-const CONNECT_ERRORS = new Set([
-  'ECONNREFUSED',
-  'EHOSTUNREACH',
-  'ENETUNREACH',
-  'EADDRNOTAVAIL',
-  'UND_ERR_CONNECT_TIMEOUT',
-]);
-
 /**
  * How one connection of an attempt ended.
  * - `final`: the attempt has ended.
@@ -134,7 +126,5 @@
 
 function describeError(error: unknown): ConnectionEnd {
   const message = error instanceof Error ? error.message : String(error);
-  const code = (error as { code?: unknown }).code;
-  const unconnected = typeof code === 'string' && CONNECT_ERRORS.has(code);
-  return { kind: unconnected ? 'unconnected' : 'broken', message };
+  return { kind: isConnectError(error) ? 'unconnected' : 'broken', message };
 }
--- a/src/entry/createEntry.ts
+++ b/src/entry/createEntry.ts
@@ -7,6 +7,7 @@
 import { MembershipNotifier } from '../follower/MembershipNotifier.js';
 import { LedgerWriter } from '../ledger/LedgerWriter.js';
 import { HttpMembershipList } from '../platform/HttpMembershipList.js';
+import { KeptMembershipList } from '../platform/KeptMembershipList.js';
 import { HttpObjectStore } from '../platform/HttpObjectStore.js';
 import { HttpTableStore } from '../platform/HttpTableStore.js';
 import { SystemClock } from '../platform/SystemClock.js';
@@ -30,7 +31,9 @@
   const clock = new SystemClock();
   const random = new SeededRandom(randomBytes(SEED_BYTES).readInt32LE());
   const table = new HttpTableStore(settings.platform.tableUrl);
-  const membership = new HttpMembershipList(settings.platform.membershipUrl);
+  const membership = new KeptMembershipList(
+    new HttpMembershipList(settings.platform.membershipUrl),
+  );
   const configuration = new ConfigurationFollower({
     store: table,
     clock,
--- a/src/platform/HttpCaller.ts
+++ b/src/platform/HttpCaller.ts
@@ -1,6 +1,7 @@
 import { promisify } from 'node:util';
 import { gunzip } from 'node:zlib';
 import { Agent, type Dispatcher } from 'undici';
+import { isConnectError } from '../common/ConnectError.js';
 import type { CallOptions, PlatformError, PlatformResult } from './Types.js';
 
 /** Connections kept per service. More calls at once wait for a free connection. */
@@ -156,12 +157,6 @@
   return isWithoutEffect ? unavailable(message) : failure(call, message);
 }
 
-/** True if the connection was never established, so that no byte of the call was sent. */
-function isConnectError(error: unknown): boolean {
-  const { code, syscall } = error as { code?: string; syscall?: string };
-  return syscall === 'connect' || code === 'UND_ERR_CONNECT_TIMEOUT';
-}
-
 function unavailable(message: string): { ok: false; error: PlatformError } {
   return { ok: false, error: { kind: 'unavailable', message } };
 }
--- /dev/null
+++ b/src/platform/KeptMembershipList.test.ts
@@ -0,0 +1,17 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { Instance } from '../common/protocol/Membership.js';
+import { KeptMembershipList } from './KeptMembershipList.js';
+import type { PlatformResult } from './Types.js';
+
+test('the last list is given while the platform is down (a drain must still find its agent)', async () => {
+  const answers: PlatformResult<Instance[]>[] = [
+    { ok: false, error: { kind: 'unavailable', message: 'down' } },
+    { ok: true, value: [] },
+    { ok: false, error: { kind: 'unavailable', message: 'down' } },
+  ];
+  const list = new KeptMembershipList({ list: async () => answers.shift()! });
+  assert.equal((await list.list({ timeoutMs: 1 })).ok, false);
+  assert.equal((await list.list({ timeoutMs: 1 })).ok, true);
+  assert.deepEqual(await list.list({ timeoutMs: 1 }), { ok: true, value: [] });
+});
--- a/src/telemetry/Logger.ts
+++ b/src/telemetry/Logger.ts
@@ -25,8 +25,8 @@
     reporters: [
       {
         log: (entry) => {
-          const fields = Object.assign({}, ...entry.args.filter(isFields));
-          const message = entry.args.filter((part) => !isFields(part)).join(' ');
+          const fields = Object.assign(errorFields(entry.args), ...entry.args.filter(isFields));
+          const message = entry.args.filter((part) => typeof part === 'string').join(' ');
           const line = {
             time: entry.date.toISOString(),
             level: entry.type,
@@ -42,7 +42,13 @@
 }
 
 function isFields(part: unknown): part is Record<string, unknown> {
-  return typeof part === 'object' && part !== null;
+  return typeof part === 'object' && part !== null && !(part instanceof Error);
+}
+
+/** An error given as an argument of its own becomes the field `error`. */
+function errorFields(args: readonly unknown[]): Record<string, string> {
+  const error = args.find((part) => part instanceof Error);
+  return error instanceof Error ? { error: error.message } : {};
 }
 
 function redact(field: string, value: unknown): unknown {
