--- a/src/load/deployment/Templates.ts
+++ b/src/load/deployment/Templates.ts
@@ -10,14 +10,16 @@
 /** Chunks generated for a floor question. */
 export const ANSWER_TOKENS = 48;
 
-const encode = {
+/** Stage that encodes the request's question. */
+export const encode = {
   name: 'encode',
   kind: 'encode',
   pool: 'encoders',
   model: 'embedder',
   input: { text: '$request.question' },
 };
-const rerank = {
+/** Stage that reranks the retrieved documents. */
+export const rerank = {
   name: 'rerank',
   kind: 'rerank',
   pool: 'rerankers',
@@ -25,7 +27,11 @@
   input: { query: '$request.question', documents: '$retrieve.documents', limit: 3 },
 };
 
-function retrieve(pool: string): unknown {
+/**
+ * @param pool - pool of retrievers
+ * @returns stage that retrieves documents for the encoded question
+ */
+export function retrieve(pool: string): unknown {
   return {
     name: 'retrieve',
     kind: 'retrieve',
--- a/src/load/measure/MeasuredDeployment.ts
+++ b/src/load/measure/MeasuredDeployment.ts
@@ -1,7 +1,7 @@
 /** The deployment that measurements run against: fast backend stand-ins, so that our own cost shows. */
 import { Template } from '../../common/protocol/Configuration.js';
 import type { BackendKind, Deployment, Pool, TemplateTraffic } from '../deployment/Types.js';
-import { MODEL } from '../deployment/Templates.js';
+import { encode, MODEL, rerank, retrieve } from '../deployment/Templates.js';
 
 const SLOTS = 128;
 const TOKEN_MS = 10;
@@ -19,27 +19,6 @@
 /** Tokens that the generate templates ask for. */
 export const GENERATED_TOKENS = [50, 150, 300] as const;
 
-const encode = {
-  name: 'encode',
-  kind: 'encode',
-  pool: 'encoders',
-  model: 'embedder',
-  input: { text: '$request.question' },
-};
-const retrieve = {
-  name: 'retrieve',
-  kind: 'retrieve',
-  pool: 'retrievers',
-  input: { vector: '$encode.vector', limit: 8 },
-};
-const rerank = {
-  name: 'rerank',
-  kind: 'rerank',
-  pool: 'rerankers',
-  model: 'ranker',
-  input: { query: '$request.question', documents: '$retrieve.documents', limit: 3 },
-};
-
 function generate(maxTokens: number): Record<string, unknown> {
   const input = { prompt: '$request.question', maxTokens };
   return { name: 'generate', kind: 'generate', pool: 'engines', model: MODEL, input };
@@ -81,8 +60,12 @@
     ],
     accounts: [{ id: 'measured', token: 'measured-account-token', share: 1, priority: 5 }],
     traffic: [
-      traffic('three-stages', [encode, retrieve, rerank], false),
-      traffic('five-stages', [call('lookup', true), encode, retrieve, rerank, generate(1)], false),
+      traffic('three-stages', [encode, retrieve('retrievers'), rerank], false),
+      traffic(
+        'five-stages',
+        [call('lookup', true), encode, retrieve('retrievers'), rerank, generate(1)],
+        false,
+      ),
       traffic('deposit', [call('record', false)], false),
       traffic('short', [generate(1)], true),
       ...GENERATED_TOKENS.map((tokens) => traffic(`tokens-${tokens}`, [generate(tokens)], true)),
--- a/src/load/prove/AtMostOnce.ts
+++ b/src/load/prove/AtMostOnce.ts
@@ -49,9 +49,7 @@
   const faults = cluster.naive ? BASELINE_FAULTS : FAULTS;
   const plan = { faults, pools: POOLS, intervalMs: FAULT_INTERVAL_MS };
   const injector = new FaultInjector(cluster, plan, context.random);
-  const injecting = injector.run();
-  await calls.run(context.seconds, KEYS_PER_SECOND);
-  await Promise.all([injector.stop(), injecting]);
+  await injector.during(() => calls.run(context.seconds, KEYS_PER_SECOND));
   context.progress(`${calls.records.length} keys sent; replaying all of them without faults`);
   await heal(cluster);
   await sleep(SETTLE_MS);
--- a/src/load/prove/ConfigurationForce.ts
+++ b/src/load/prove/ConfigurationForce.ts
@@ -47,9 +47,7 @@
   const injector = new FaultInjector(cluster, plan, context.random);
   if (!cluster.naive) watch.start();
   const loading = load.run(context.seconds);
-  const injecting = injector.run();
-  await operators.run(OPERATORS, context.seconds);
-  await Promise.all([injector.stop(), injecting]);
+  await injector.during(() => operators.run(OPERATORS, context.seconds));
   await heal(cluster);
   await sleep(SETTLE_MS);
   await Promise.all([watch.stop(), loading]);
--- a/src/load/prove/FaultInjector.ts
+++ b/src/load/prove/FaultInjector.ts
@@ -29,8 +29,20 @@
     this.counts = Object.fromEntries(plan.faults.map((fault) => [fault, 0]));
   }
 
-  /** Injects faults until {@link stop}. Each fault is injected at least once in every round. */
-  async run(): Promise<void> {
+  /**
+   * Injects faults while some work goes on, then waits until every fault was taken back.
+   * @param work - work to disturb
+   */
+  async during(work: () => Promise<unknown>): Promise<void> {
+    const injecting = this.run();
+    await work();
+    this.stopped = true;
+    await injecting;
+    await Promise.all(this.running);
+  }
+
+  /** Each fault is injected at least once in every round. */
+  private async run(): Promise<void> {
     while (!this.stopped) {
       for (const fault of this.shuffled()) {
         if (this.stopped) break;
@@ -40,12 +52,6 @@
     }
   }
 
-  /** Stops and waits until every fault in progress was taken back. */
-  async stop(): Promise<void> {
-    this.stopped = true;
-    await Promise.all(this.running);
-  }
-
   private async inject(fault: FaultName): Promise<void> {
     const { cluster, random } = this;
     const happened = await FAULT_ACTIONS[fault]({ cluster, random, pools: this.plan.pools });
--- a/src/load/prove/NoLostResult.ts
+++ b/src/load/prove/NoLostResult.ts
@@ -28,9 +28,7 @@
   const load = new MixedLoad(cluster, { perSecond: REQUESTS_PER_SECOND }, context.random);
   const plan = { faults: FAULTS, pools: [], intervalMs: FAULT_INTERVAL_MS };
   const injector = new FaultInjector(cluster, plan, context.random);
-  const injecting = injector.run();
-  await load.run(context.seconds);
-  await Promise.all([injector.stop(), injecting]);
+  await injector.during(() => load.run(context.seconds));
   const runs = await allRuns(cluster);
   const violations = [
     ...load.records.flatMap((record) => {
--- a/src/load/prove/TrueRefusal.ts
+++ b/src/load/prove/TrueRefusal.ts
@@ -60,9 +60,7 @@
   const faults = cluster.naive ? BASELINE_FAULTS : FAULTS;
   const plan = { faults, pools: POOLS, intervalMs: FAULT_INTERVAL_MS };
   const injector = new FaultInjector(cluster, plan, context.random);
-  const injecting = injector.run();
-  await load.run(context.seconds);
-  await Promise.all([injector.stop(), injecting]);
+  await injector.during(() => load.run(context.seconds));
   await heal(cluster);
   return judge(load.records, await allRuns(cluster), injector.counts);
 }
