--- a/src/agent/AgentProcess.ts
+++ b/src/agent/AgentProcess.ts
@@ -113,6 +113,7 @@
       actor: this.actor,
       drainState: this.drainState,
       configuration: this.configuration,
+      logger: this.logger,
     });
     this.orders = settings.orders
       ? new OrderControl({
--- a/src/agent/AgentService.ts
+++ b/src/agent/AgentService.ts
@@ -1,6 +1,7 @@
 import type { Gate } from '../common/gate/Gate.js';
 import type { AttemptStatus } from '../common/protocol/Attempt.js';
 import type { Acknowledgement, AgentControl, ServerStatus } from '../common/protocol/Control.js';
+import type { Logger } from '../telemetry/Logger.js';
 import type { ConfigurationSource } from '../follower/Types.js';
 import type { AgentSettings } from './AgentSettings.js';
 import type { DrainState } from './DrainState.js';
@@ -19,12 +20,15 @@
   readonly actor: GateActor;
   readonly drainState: DrainState;
   readonly configuration: ConfigurationSource;
+  readonly logger: Logger;
 }
 
 /** Carries out the control calls of the agent. */
 export class AgentService implements AgentControl {
   readonly configuration: ConfigurationSource;
 
+  private isDraining = false;
+
   /** @param parts - gate, drain state, configuration */
   constructor(private readonly parts: AgentServiceParts) {
     this.configuration = parts.configuration;
@@ -61,7 +65,12 @@
    * @returns state of the server after it
    */
   async applyDrainState(): Promise<ServerStatus> {
-    const { actor, drainState } = this.parts;
+    const { actor, drainState, settings, logger } = this.parts;
+    if (drainState.isDraining !== this.isDraining) {
+      this.isDraining = drainState.isDraining;
+      const serverId = settings.backend.id;
+      logger.info(this.isDraining ? 'drain begins' : 'drain ends', { serverId });
+    }
     const type = drainState.isDraining ? 'drain' : 'resume';
     await actor.ask<void>((reply) => ({ type, reply }));
     return this.serverStatus();
--- a/src/entry/Entry.ts
+++ b/src/entry/Entry.ts
@@ -103,7 +103,7 @@
       schemas: new SchemaChecks(),
       ledger: options.ledger,
     });
-    this.telemetry = new EntryTelemetry(clock, options.tracing, options.metrics);
+    this.telemetry = new EntryTelemetry(clock, options.tracing, options.metrics, options.logger);
     observeConfiguration(options.metrics.meter, options.configuration);
     this.callers = new CallerApi({
       entryId: settings.id,
--- a/src/entry/EntryTelemetry.ts
+++ b/src/entry/EntryTelemetry.ts
@@ -2,6 +2,7 @@
 import { LRUCache } from 'lru-cache';
 import type { Decision, Explanation } from '../common/protocol/Control.js';
 import type { Clock } from '../common/time/Types.js';
+import type { Logger } from '../telemetry/Logger.js';
 import type { Metrics } from '../telemetry/Metrics.js';
 import type { Tracing } from '../telemetry/Tracing.js';
 import { RequestTelemetry } from './RequestTelemetry.js';
@@ -34,6 +35,7 @@
     private readonly clock: Clock,
     private readonly tracing: Tracing,
     { meter }: Metrics,
+    private readonly logger: Logger,
   ) {
     const advice = { explicitBucketBoundaries: BUCKETS_MS };
     this.instruments = {
@@ -70,12 +72,12 @@
     const { requestId, account, template } = request;
     const explanation: Explanation = { requestId, account, template, decisions: [] };
     this.running.set(requestId, explanation);
-    const { clock, tracing, instruments } = this;
+    const { clock, tracing, instruments, logger } = this;
     const onEnd = () => {
       this.running.delete(requestId);
       this.explanations.set(requestId, pack(explanation));
     };
-    const services = { clock, tracing, instruments, onEnd };
+    const services = { clock, tracing, instruments, logger, onEnd };
     return new RequestTelemetry(services, request, explanation.decisions as Decision[]);
   }
 
--- a/src/entry/RequestTelemetry.ts
+++ b/src/entry/RequestTelemetry.ts
@@ -1,6 +1,7 @@
 import { trace, type Context, type Span } from '@opentelemetry/api';
 import type { Decision } from '../common/protocol/Control.js';
 import type { Clock } from '../common/time/Types.js';
+import type { Logger } from '../telemetry/Logger.js';
 import type { Tracing } from '../telemetry/Tracing.js';
 import type { EntryInstruments } from './EntryTelemetry.js';
 import type { AttemptTrace, RequestEnd } from './Types.js';
@@ -13,6 +14,7 @@
   readonly clock: Clock;
   readonly tracing: Tracing;
   readonly instruments: EntryInstruments;
+  readonly logger: Logger;
   /** Called when the request has ended and all is noted. */
   readonly onEnd: () => void;
 }
@@ -48,6 +50,10 @@
     const atMs = Math.round(this.services.clock.now() - this.request.arrivedAt);
     this.decisions.push({ atMs, stage, action, reason });
     if (COUNTED_ACTIONS.has(action)) this.services.instruments.decisions.add(1, { action });
+    if (action === 'eject') {
+      const { requestId, account } = this.request;
+      this.services.logger.warn('backend server ejected', { reason, requestId, account });
+    }
   }
 
   /** Notes that generated text was passed to the caller. */
@@ -81,14 +87,18 @@
 
   /** Notes the end of the request. */
   finish(end: RequestEnd): void {
-    const { arrivedAt, template } = this.request;
+    const { requestId, account, arrivedAt, template } = this.request;
     const { requests, firstMs, totalMs } = this.services.instruments;
+    const elapsedMs = this.services.clock.now() - arrivedAt;
     const outcome = end.ok ? 'result' : end.failure.outcome;
     const kind = end.ok ? 'result' : end.failure.kind;
     const labels = { template, outcome: kind };
     requests.add(1, labels);
-    totalMs.record(this.services.clock.now() - arrivedAt, labels);
+    totalMs.record(elapsedMs, labels);
     if (this.firstChunkAt !== null) firstMs.record(this.firstChunkAt - arrivedAt, { template });
+    const fields = { requestId, account, template, kind, outcome, ms: Math.round(elapsedMs) };
+    if (end.ok) this.services.logger.debug('request finished', fields);
+    else this.services.logger.info('request failed', { ...fields, reason: end.failure.message });
     this.decide(null, 'finish', end.ok ? 'result' : `${kind}, ${outcome}: ${end.failure.message}`);
     this.span.setAttributes({ outcome, kind });
     this.span.end();
--- /dev/null
+++ b/src/telemetry/Logger.test.ts
@@ -0,0 +1,33 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { createLogger, type Logger } from './Logger.js';
+
+/** Runs an action with a logger and gives the lines it wrote. */
+function linesOf(action: (logger: Logger) => void): Record<string, unknown>[] {
+  const write = process.stderr.write.bind(process.stderr);
+  const lines: string[] = [];
+  process.stderr.write = (line: string | Uint8Array) => {
+    lines.push(String(line));
+    return true;
+  };
+  try {
+    action(createLogger('test', 'info'));
+  } finally {
+    process.stderr.write = write;
+  }
+  return lines.map((line) => JSON.parse(line) as Record<string, unknown>);
+}
+
+test('an error given as an argument is written (operators need the reason)', () => {
+  const [line] = linesOf((logger) => logger.error('flush failed', new Error('no route')));
+  assert.equal(line?.message, 'flush failed');
+  assert.equal(line?.error, 'no route');
+});
+
+test('secrets never reach the log', () => {
+  const [line] = linesOf((logger) =>
+    logger.info('settings', { internalToken: 'x', id: 'entry-1' }),
+  );
+  assert.equal(line?.internalToken, '[redacted]');
+  assert.equal(line?.id, 'entry-1');
+});
