Work out the ledger's month in one place

Cause: LedgerBook had monthOf, and the agent's meter, the entry and the forecast command had it again. Agents and entries must name the same month, or their counters of one attempt do not meet in the cost report. Ruled out: merging the like-shaped import blocks and the set-up of two pause tests that the duplicate search lists; there is no logic in them. Also removed: two exports that nothing used; a comment still spoke of a poll every 4 s.

--- a/src/cli/queries/ShowForecast.ts
+++ b/src/cli/queries/ShowForecast.ts
@@ -1,4 +1,5 @@
 /** Forecasts a month's bill from published templates and past days. */
+import { monthOf } from '../../common/ledger/LedgerBook.js';
 import type { DailyUsage } from '../../common/ledger/CostBook.js';
 import { forecastMonth, type Forecast } from '../../common/ledger/Forecast.js';
 import type { Page, Plot } from '../Page.js';
@@ -160,5 +161,5 @@
 function monthAfter(now: number): string {
   const date = new Date(now);
   const first = Date.UTC(date.getUTCFullYear(), date.getUTCMonth() + 1, 1);
-  return new Date(first).toISOString().slice(0, 'YYYY-MM'.length);
+  return monthOf(first);
 }
--- a/src/common/gate/UsageMeter.ts
+++ b/src/common/gate/UsageMeter.ts
@@ -1,10 +1,9 @@
+import { monthOf } from '../ledger/LedgerBook.js';
 import type { LedgerEntry } from '../protocol/Ledger.js';
 import type { UsageClass } from '../protocol/Usage.js';
 import type { Clock } from '../time/Types.js';
 import type { GateEntry } from './GateEntry.js';
 
-const MONTH_LENGTH = 'YYYY-MM'.length;
-
 /** Turns ended attempts into ledger entries. */
 export class UsageMeter {
   /**
@@ -27,7 +26,7 @@
     return {
       agentId: this.agent.agentId,
       agentIncarnation: this.agent.incarnation,
-      month: new Date(this.clock.wallTime()).toISOString().slice(0, MONTH_LENGTH),
+      month: monthOf(this.clock.wallTime()),
       account: entry.attempt.account,
       template: entry.attempt.template,
       stage: entry.attempt.stage,
--- a/src/common/ledger/LedgerBook.ts
+++ b/src/common/ledger/LedgerBook.ts
@@ -136,7 +136,7 @@
 }
 
 /**
- * @param wallTimeMs - wall-clock - wall-clock milliseconds since 1970-01-01 UTC
+ * @param wallTimeMs - wall-clock milliseconds since 1970-01-01 UTC
  * @returns calendar month in UTC, `YYYY-MM`
  */
 export function monthOf(wallTimeMs: number): string {
--- a/src/common/protocol/Control.ts
+++ b/src/common/protocol/Control.ts
@@ -10,7 +10,6 @@
 export const INTERNAL_TOKEN_HEADER = 'x-citronstage-internal';
 
 export const AttemptAddress = z.object({ attemptId: z.string().min(1) });
-export const AttemptAddresses = z.object({ attemptIds: z.array(z.string().min(1)).max(1000) });
 /** `won` is false if the result was not used (a hedge that lost); its usage is overhead. */
 export const Acknowledgement = z.object({ attemptId: z.string().min(1), won: z.boolean() });
 export const Acknowledgements = z.object({ attempts: z.array(Acknowledgement).max(1000) });
--- a/src/entry/SentAttempt.ts
+++ b/src/entry/SentAttempt.ts
@@ -1,3 +1,4 @@
+import { monthOf } from '../common/ledger/LedgerBook.js';
 import type { Usage, UsageClass } from '../common/protocol/Usage.js';
 import type { FailureSignal, RoutedServer } from '../common/routing/Types.js';
 import type { StageServices } from './StageRunner.js';
@@ -228,7 +229,3 @@
     });
   }
 }
-
-function monthOf(wallTime: number): string {
-  return new Date(wallTime).toISOString().slice(0, 'YYYY-MM'.length);
-}
--- a/src/follower/ConfigurationFollower.ts
+++ b/src/follower/ConfigurationFollower.ts
@@ -20,7 +20,7 @@
 const JITTER_SHARE = 0.2;
 /**
  * Interval after the first poll that failed; doubled up to the longest one. An agent that polls
- * every 4 s has less than 1 s left for further tries within the bound of 5 s. The longest interval
+ * every 2 s has 3 s left for further tries within the bound of 5 s. The longest interval
  * keeps a long outage cheap: 1,100 processes that ask 3 of 350 entries every 2 s are 5 calls/s each.
  */
 const FIRST_RETRY_MS = 250;
--- a/src/telemetry/Tracing.ts
+++ b/src/telemetry/Tracing.ts
@@ -21,9 +21,6 @@
 const NANOSECONDS_PER_MS = 1e6;
 const MS_PER_SECOND = 1000;
 
-/** Names of the spans of one request, in the order of the path. */
-export const HOPS = ['entry', 'route', 'queue', 'claim', 'backend', 'relay'] as const;
-
 /** Tracing of one process. */
 export interface Tracing {
   readonly tracer: Tracer;
