--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -2,7 +2,7 @@
 import prettier from 'eslint-config-prettier';
 
 export default [
-  { ignores: ['dist/**', 'node_modules/**', 'out/**'] },
+  { ignores: ['target/**', 'node_modules/**', 'out/**'] },
   plugins.stylistic,
   plugins.importX,
   plugins.node,
--- a/scripts/run-tests.mjs
+++ b/scripts/run-tests.mjs
@@ -3,8 +3,8 @@
 import { join } from 'node:path';
 import { run } from 'node:test';
 
-// Tests under dist/load start tens of processes each and check time bounds, so they run one by one.
-const CLUSTER_TESTS = 'dist/load/';
+// Tests under target/src/load start tens of processes each and check time bounds, so they run one by one.
+const CLUSTER_TESTS = 'target/src/load/';
 const UNIT_TEST_CONCURRENCY = 4;
 const TEST_TIMEOUT_MS = 180_000;
 const KNOWN_RED_FILE = 'KNOWN-RED.txt';
@@ -26,7 +26,9 @@
 };
 
 const filter = process.argv[2] ?? '';
-const files = testFiles('dist').filter((file) => file.includes(filter));
+const files = ['target/src', 'target/platform']
+  .flatMap(testFiles)
+  .filter((file) => file.includes(filter));
 const known = knownRed();
 let passed = 0;
 const failures = [];
--- a/src/agent/AgentPause.test.ts
+++ b/src/agent/AgentPause.test.ts
@@ -4,7 +4,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { createAttempt } from '../common/gate/testing/AttemptFixture.js';
 import { CLAIM_TABLE, Claim, claimKey } from '../common/protocol/Claim.js';
-import { HttpTableStore } from '../platform/HttpTableStore.js';
+import { HttpTableStore } from '../storage/HttpTableStore.js';
 import {
   createControl,
   startStandins,
--- a/src/agent/AgentProcess.test.ts
+++ b/src/agent/AgentProcess.test.ts
@@ -8,7 +8,7 @@
 import { sha256 } from '../common/Digest.js';
 import { ATTEMPT_PATH } from '../common/protocol/Attempt.js';
 import { LEDGER_TABLE, LedgerRow } from '../common/protocol/Ledger.js';
-import { HttpTableStore } from '../platform/HttpTableStore.js';
+import { HttpTableStore } from '../storage/HttpTableStore.js';
 import type { SpanRecord } from '../telemetry/Tracing.js';
 import {
   startAgent,
--- a/src/agent/AgentProcess.ts
+++ b/src/agent/AgentProcess.ts
@@ -9,10 +9,10 @@
 import type { EntryRouter } from '../entry/EntryRouter.js';
 import { ConfigurationFollower } from '../follower/ConfigurationFollower.js';
 import { LedgerWriter } from '../ledger/LedgerWriter.js';
-import { HttpMembershipList } from '../platform/HttpMembershipList.js';
-import { HttpObjectStore } from '../platform/HttpObjectStore.js';
-import { HttpTableStore } from '../platform/HttpTableStore.js';
-import { SystemClock } from '../platform/SystemClock.js';
+import { HttpMembershipList } from '../storage/HttpMembershipList.js';
+import { HttpObjectStore } from '../storage/HttpObjectStore.js';
+import { HttpTableStore } from '../storage/HttpTableStore.js';
+import { SystemClock } from '../storage/SystemClock.js';
 import { createLogger, type Logger } from '../telemetry/Logger.js';
 import { observeConfiguration } from '../follower/ConfigurationMetrics.js';
 import { createMetrics } from '../telemetry/Metrics.js';
--- a/src/agent/AttemptEndpoint.test.ts
+++ b/src/agent/AttemptEndpoint.test.ts
@@ -6,7 +6,7 @@
 import { createAttempt } from '../common/gate/testing/AttemptFixture.js';
 import type { RevisionNotice } from '../common/protocol/Attempt.js';
 import type { ConfigurationSource } from '../follower/Types.js';
-import { SystemClock } from '../platform/SystemClock.js';
+import { SystemClock } from '../storage/SystemClock.js';
 import { createLogger } from '../telemetry/Logger.js';
 import { AttemptEndpoint } from './AttemptEndpoint.js';
 import { GateActor } from './GateActor.js';
--- a/src/agent/ClaimProtocol.test.ts
+++ b/src/agent/ClaimProtocol.test.ts
@@ -8,8 +8,8 @@
 import type { Attempt } from '../common/protocol/Attempt.js';
 import { CLAIM_TABLE, Claim, claimKey } from '../common/protocol/Claim.js';
 import { NO_USAGE } from '../common/protocol/Usage.js';
-import { FakeTableStore, type TableFault } from '../platform/testing/FakeTableStore.js';
-import type { PlatformResult, Row, TableStore } from '../platform/Types.js';
+import { FakeTableStore, type TableFault } from '../storage/testing/FakeTableStore.js';
+import type { PlatformResult, Row, TableStore } from '../storage/Types.js';
 import { SimulatedAgent, type SimulatedWorld } from './testing/SimulatedAgent.js';
 import { StepScheduler } from './testing/StepScheduler.js';
 
--- a/src/agent/claims/ClaimWriter.test.ts
+++ b/src/agent/claims/ClaimWriter.test.ts
@@ -2,8 +2,8 @@
 import { test } from 'node:test';
 import { CLAIM_INLINE_RESULT_BYTES, CLAIM_TABLE, type Claim } from '../../common/protocol/Claim.js';
 import { SeededRandom } from '../../common/time/SeededRandom.js';
-import { FakeTableStore, type TableFault } from '../../platform/testing/FakeTableStore.js';
-import type { Row } from '../../platform/Types.js';
+import { FakeTableStore, type TableFault } from '../../storage/testing/FakeTableStore.js';
+import type { Row } from '../../storage/Types.js';
 import { ClaimWriter } from './ClaimWriter.js';
 
 const KEY = 'account/key/stage';
--- a/src/agent/claims/ClaimWriter.ts
+++ b/src/agent/claims/ClaimWriter.ts
@@ -8,7 +8,7 @@
   isSameHolder,
 } from '../../common/protocol/Claim.js';
 import type { Clock, RandomSource } from '../../common/time/Types.js';
-import type { ObjectStore, PlatformError, Row, TableStore } from '../../platform/Types.js';
+import type { ObjectStore, PlatformError, Row, TableStore } from '../../storage/Types.js';
 import type { ClaimRequest, ClaimStore } from '../Types.js';
 import { RowBatcher } from './RowBatcher.js';
 
--- a/src/agent/claims/RowBatcher.ts
+++ b/src/agent/claims/RowBatcher.ts
@@ -1,4 +1,4 @@
-import type { PlatformResult, Row, RowAddress, TableStore } from '../../platform/Types.js';
+import type { PlatformResult, Row, RowAddress, TableStore } from '../../storage/Types.js';
 
 /** Swap of one row: write `value` if the row has `version` (0: is absent). */
 export interface RowSwap extends RowAddress {
--- a/src/agent/orders/OrderControl.ts
+++ b/src/agent/orders/OrderControl.ts
@@ -1,6 +1,6 @@
 import type { Disposable } from '../../common/events/Types.js';
 import type { Clock } from '../../common/time/Types.js';
-import type { TableStore } from '../../platform/Types.js';
+import type { TableStore } from '../../storage/Types.js';
 import type { Logger } from '../../telemetry/Logger.js';
 import type { AgentSettings } from '../AgentSettings.js';
 import type { AgentIdentity } from '../Types.js';
--- a/src/agent/orders/OrderLease.test.ts
+++ b/src/agent/orders/OrderLease.test.ts
@@ -2,7 +2,7 @@
 import { test } from 'node:test';
 import fc from 'fast-check';
 import type { Order, OrderState } from '../../common/protocol/Backend.js';
-import { FakeTableStore, type TableFault } from '../../platform/testing/FakeTableStore.js';
+import { FakeTableStore, type TableFault } from '../../storage/testing/FakeTableStore.js';
 import type { Logger } from '../../telemetry/Logger.js';
 import { OrderLease } from './OrderLease.js';
 import { OrderReconciler } from './OrderReconciler.js';
--- a/src/agent/orders/OrderLease.ts
+++ b/src/agent/orders/OrderLease.ts
@@ -1,5 +1,5 @@
 import type { Clock } from '../../common/time/Types.js';
-import type { Row, TableStore } from '../../platform/Types.js';
+import type { Row, TableStore } from '../../storage/Types.js';
 import { LEASE_TABLE, Lease } from './Lease.js';
 
 /** Bound of one call to the table service. */
--- a/src/agent/testing/MeasureAgent.ts
+++ b/src/agent/testing/MeasureAgent.ts
@@ -1,6 +1,6 @@
 /**
  * Measures one agent process: throughput, added latency, memory, CPU time. Not part of the tests.
- * Run with `node dist/agent/testing/MeasureAgent.js [SECONDS]`.
+ * Run with `node target/src/agent/testing/MeasureAgent.js [SECONDS]`.
  */
 import { spawn, type ChildProcess } from 'node:child_process';
 import { once } from 'node:events';
--- a/src/agent/testing/SimulatedAgent.ts
+++ b/src/agent/testing/SimulatedAgent.ts
@@ -6,7 +6,7 @@
 import { NO_USAGE } from '../../common/protocol/Usage.js';
 import { SeededRandom } from '../../common/time/SeededRandom.js';
 import type { Clock } from '../../common/time/Types.js';
-import type { TableStore } from '../../platform/Types.js';
+import type { TableStore } from '../../storage/Types.js';
 import type { Logger } from '../../telemetry/Logger.js';
 import { AttemptRunner } from '../AttemptRunner.js';
 import { ClaimWriter } from '../claims/ClaimWriter.js';
--- a/src/bin/citronstage-agent.ts
+++ b/src/bin/citronstage-agent.ts
@@ -15,7 +15,7 @@
 
 const { version } = JSON.parse(
   // eslint-disable-next-line n/no-sync
-  readFileSync(new URL('../../package.json', import.meta.url), 'utf8'),
+  readFileSync(new URL('../../../package.json', import.meta.url), 'utf8'),
 ) as { version: string };
 
 // eslint-disable-next-line n/no-sync
--- a/src/bin/citronstage-standin.ts
+++ b/src/bin/citronstage-standin.ts
@@ -11,7 +11,7 @@
 
 const EXIT_FAILURE = 1;
 
-const packageUrl = new URL('../../package.json', import.meta.url);
+const packageUrl = new URL('../../../package.json', import.meta.url);
 // Read once, before anything is started.
 // eslint-disable-next-line n/no-sync
 const { version } = JSON.parse(readFileSync(packageUrl, 'utf8')) as { version: string };
--- a/src/bin/citronstage.ts
+++ b/src/bin/citronstage.ts
@@ -4,7 +4,7 @@
 
 // Read once at start; a module import would place the file outside the compiled tree.
 // eslint-disable-next-line n/no-sync
-const packageText = readFileSync(new URL('../../package.json', import.meta.url), 'utf8');
+const packageText = readFileSync(new URL('../../../package.json', import.meta.url), 'utf8');
 const { version } = JSON.parse(packageText) as { version: string };
 
 process.exitCode = await runCli(process.argv.slice(2), version, {
--- a/src/entry/AgentDirectory.ts
+++ b/src/entry/AgentDirectory.ts
@@ -2,7 +2,7 @@
 import type { Instance } from '../common/protocol/Membership.js';
 import type { RoutedServer } from '../common/routing/Types.js';
 import type { RandomSource } from '../common/time/Types.js';
-import type { MembershipList } from '../platform/Types.js';
+import type { MembershipList } from '../storage/Types.js';
 
 /** Part of the interval taken off at random, so that entries started together do not poll together. */
 const JITTER_SHARE = 0.2;
--- a/src/entry/ClaimSettler.ts
+++ b/src/entry/ClaimSettler.ts
@@ -1,7 +1,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { AttemptStatus } from '../common/protocol/Attempt.js';
 import { Claim, CLAIM_TABLE, claimKey, isSameHolder } from '../common/protocol/Claim.js';
-import type { ObjectStore, Row, TableStore } from '../platform/Types.js';
+import type { ObjectStore, Row, TableStore } from '../storage/Types.js';
 import type { AgentCalls } from './Types.js';
 
 /** Bounds of one call, so that a silent agent or store is asked again before the deadline. */
--- a/src/entry/Claims.test.ts
+++ b/src/entry/Claims.test.ts
@@ -2,7 +2,7 @@
 import { afterEach, test } from 'node:test';
 import type { Attempt } from '../common/protocol/Attempt.js';
 import { CLAIM_TABLE, claimKey, type Claim } from '../common/protocol/Claim.js';
-import { FakeTableStore } from '../platform/testing/FakeTableStore.js';
+import { FakeTableStore } from '../storage/testing/FakeTableStore.js';
 import { FakeAgent, type Behaviour } from './testing/FakeAgent.js';
 import { errorOf, post, startEntry, type TestEntryOptions } from './testing/fixtures.js';
 
--- a/src/entry/Entry.ts
+++ b/src/entry/Entry.ts
@@ -6,7 +6,7 @@
 import { Router } from '../common/routing/Router.js';
 import { observeConfiguration } from '../follower/ConfigurationMetrics.js';
 import type { ConfigurationSource } from '../follower/Types.js';
-import type { MembershipList, ObjectStore, TableStore } from '../platform/Types.js';
+import type { MembershipList, ObjectStore, TableStore } from '../storage/Types.js';
 import type { Logger } from '../telemetry/Logger.js';
 import type { Metrics } from '../telemetry/Metrics.js';
 import type { Tracing } from '../telemetry/Tracing.js';
--- a/src/entry/measure/measure.ts
+++ b/src/entry/measure/measure.ts
@@ -1,6 +1,6 @@
 /**
  * Measures one entry with agents that answer at once; not part of the tests. Run it with
- * `node dist/entry/measure/measure.js [seconds per load]`. Entry, agents and load are separate processes.
+ * `node target/src/entry/measure/measure.js [seconds per load]`. Entry, agents and load are separate processes.
  */
 import { fork, type ChildProcess } from 'node:child_process';
 import { once } from 'node:events';
--- a/src/entry/operator/Types.ts
+++ b/src/entry/operator/Types.ts
@@ -5,7 +5,7 @@
 import type { OperatorError } from '../../common/protocol/Operator.js';
 import type { Clock } from '../../common/time/Types.js';
 import type { ConfigurationSource, ConfigurationWriter } from '../../follower/Types.js';
-import type { MembershipList, TableStore } from '../../platform/Types.js';
+import type { MembershipList, TableStore } from '../../storage/Types.js';
 import type { Logger } from '../../telemetry/Logger.js';
 import type { EntryRouter } from '../EntryRouter.js';
 
--- a/src/entry/operator/testing/OperatorFixture.ts
+++ b/src/entry/operator/testing/OperatorFixture.ts
@@ -9,8 +9,8 @@
 import { SeededRandom } from '../../../common/time/SeededRandom.js';
 import { ConfigurationFollower } from '../../../follower/ConfigurationFollower.js';
 import { ConfigurationPublisher } from '../../../follower/ConfigurationPublisher.js';
-import { SystemClock } from '../../../platform/SystemClock.js';
-import { FakeTableStore } from '../../../platform/testing/FakeTableStore.js';
+import { SystemClock } from '../../../storage/SystemClock.js';
+import { FakeTableStore } from '../../../storage/testing/FakeTableStore.js';
 import { createLogger } from '../../../telemetry/Logger.js';
 import { createOperatorApi } from '../OperatorApi.js';
 
--- a/src/follower/ChangeLog.ts
+++ b/src/follower/ChangeLog.ts
@@ -6,7 +6,7 @@
   ConfigurationHead,
   changeKey,
 } from '../common/protocol/Configuration.js';
-import type { PlatformResult, TableStore } from '../platform/Types.js';
+import type { PlatformResult, TableStore } from '../storage/Types.js';
 
 /** Rows of one scan. */
 export const SCAN_LIMIT = 500;
--- a/src/follower/CondensedLog.test.ts
+++ b/src/follower/CondensedLog.test.ts
@@ -3,7 +3,7 @@
 import fc from 'fast-check';
 import { ConfigurationState } from '../common/configuration/ConfigurationState.js';
 import type { Change } from '../common/protocol/Configuration.js';
-import { FakeTableStore } from '../platform/testing/FakeTableStore.js';
+import { FakeTableStore } from '../storage/testing/FakeTableStore.js';
 import { readCondensed, readCondensedHead, writeCondensed } from './CondensedLog.js';
 
 const TIMEOUT_MS = 100;
--- a/src/follower/CondensedLog.ts
+++ b/src/follower/CondensedLog.ts
@@ -1,7 +1,7 @@
 /** Condensed configuration log in the table service: the last change of every subject. */
 import { z } from 'zod';
 import { CONFIGURATION_TABLE, Change } from '../common/protocol/Configuration.js';
-import type { PlatformResult, Row, RowAddress, TableStore } from '../platform/Types.js';
+import type { PlatformResult, Row, RowAddress, TableStore } from '../storage/Types.js';
 
 /** Names the rows of the newest condensed log. */
 const POINTER_ADDRESS = { table: CONFIGURATION_TABLE, key: 'condensed' };
--- a/src/follower/ConfigurationClients.ts
+++ b/src/follower/ConfigurationClients.ts
@@ -5,7 +5,7 @@
 import { INTERNAL_TOKEN_HEADER, TRPC_PATH } from '../common/protocol/Control.js';
 import type { EntryRouter } from '../entry/EntryRouter.js';
 import type { Instance } from '../common/protocol/Membership.js';
-import type { MembershipList } from '../platform/Types.js';
+import type { MembershipList } from '../storage/Types.js';
 import type { ConfigurationPeer } from './Types.js';
 
 /** Time-out of one call, in milliseconds. A live process answers within a few. */
--- a/src/follower/ConfigurationFollower.ts
+++ b/src/follower/ConfigurationFollower.ts
@@ -8,7 +8,7 @@
 import type { Change, ConfigurationSnapshot } from '../common/protocol/Configuration.js';
 import type { ChangesSince } from '../common/protocol/Control.js';
 import type { Clock, RandomSource } from '../common/time/Types.js';
-import type { TableStore } from '../platform/Types.js';
+import type { TableStore } from '../storage/Types.js';
 import type { Logger } from '../telemetry/Logger.js';
 import { SCAN_LIMIT, readChanges, readHead } from './ChangeLog.js';
 import { readCondensed } from './CondensedLog.js';
--- a/src/follower/ConfigurationPublisher.ts
+++ b/src/follower/ConfigurationPublisher.ts
@@ -6,7 +6,7 @@
   type ChangeSubject,
 } from '../common/protocol/Configuration.js';
 import type { Clock } from '../common/time/Types.js';
-import type { TableStore } from '../platform/Types.js';
+import type { TableStore } from '../storage/Types.js';
 import type { Logger } from '../telemetry/Logger.js';
 import { HEAD_ADDRESS, readChange, readHead, type Head } from './ChangeLog.js';
 import { readCondensedHead, writeCondensed } from './CondensedLog.js';
--- a/src/follower/MembershipNotifier.ts
+++ b/src/follower/MembershipNotifier.ts
@@ -1,6 +1,6 @@
 import type { EntryRouter } from '../entry/EntryRouter.js';
 import type { Change } from '../common/protocol/Configuration.js';
-import type { MembershipList } from '../platform/Types.js';
+import type { MembershipList } from '../storage/Types.js';
 import type { Logger } from '../telemetry/Logger.js';
 import { mapConcurrently } from './Concurrency.js';
 import { callSignal, createClients, listInstances } from './ConfigurationClients.js';
--- a/src/follower/measure/MeasureFollowers.ts
+++ b/src/follower/measure/MeasureFollowers.ts
@@ -1,5 +1,5 @@
 /**
- * Measures followers: `node dist/follower/measure/MeasureFollowers.js --table URL --followers 200`.
+ * Measures followers: `node target/src/follower/measure/MeasureFollowers.js --table URL --followers 200`.
  * All followers and the publisher are in this process; the table service is another one. Prints one
  * JSON line: CPU and bytes of idle followers, and the time from publishing to being in force.
  */
@@ -13,8 +13,8 @@
 import type { Instance } from '../../common/protocol/Membership.js';
 import { SeededRandom } from '../../common/time/SeededRandom.js';
 import { createEntryRouter } from '../../entry/EntryRouter.js';
-import { HttpTableStore } from '../../platform/HttpTableStore.js';
-import { SystemClock } from '../../platform/SystemClock.js';
+import { HttpTableStore } from '../../storage/HttpTableStore.js';
+import { SystemClock } from '../../storage/SystemClock.js';
 import { createLogger } from '../../telemetry/Logger.js';
 import { ConfigurationFollower } from '../ConfigurationFollower.js';
 import { ConfigurationPublisher } from '../ConfigurationPublisher.js';
--- a/src/follower/measure/MeasureMemory.ts
+++ b/src/follower/measure/MeasureMemory.ts
@@ -1,6 +1,6 @@
 /**
  * Measures the memory and the application time of a configuration:
- * `node --expose-gc dist/follower/measure/MeasureMemory.js --accounts 270 --templates 19`.
+ * `node --expose-gc target/src/follower/measure/MeasureMemory.js --accounts 270 --templates 19`.
  * Prints one JSON line.
  */
 import yargs from 'yargs';
--- a/src/follower/testing/SimulatedStore.ts
+++ b/src/follower/testing/SimulatedStore.ts
@@ -1,5 +1,5 @@
 import type { RandomSource } from '../../common/time/Types.js';
-import { MemoryTable } from '../../platform/MemoryTable.js';
+import { MemoryTable } from '../../storage/MemoryTable.js';
 import type {
   PlatformResult,
   Row,
@@ -7,7 +7,7 @@
   RowCheck,
   RowWrite,
   TableStore,
-} from '../../platform/Types.js';
+} from '../../storage/Types.js';
 import type { SimulatedProcess, SimulatedTime } from './SimulatedTime.js';
 
 const LONGEST_DELAY_MS = 20;
--- a/src/ledger/CostAccuracy.test.ts
+++ b/src/ledger/CostAccuracy.test.ts
@@ -2,7 +2,7 @@
 import { test } from 'node:test';
 import { addUsage, NO_USAGE, type Usage, type UsageClass } from '../common/protocol/Usage.js';
 import { SeededRandom } from '../common/time/SeededRandom.js';
-import { FakeTableStore, type TableFault } from '../platform/testing/FakeTableStore.js';
+import { FakeTableStore, type TableFault } from '../storage/testing/FakeTableStore.js';
 import { createLogger } from '../telemetry/Logger.js';
 import { readLedger } from './LedgerReader.js';
 import { LedgerWriter } from './LedgerWriter.js';
--- a/src/ledger/LedgerReader.ts
+++ b/src/ledger/LedgerReader.ts
@@ -1,7 +1,7 @@
 /** Reads the ledger for reports. */
 import { CostBook } from '../common/ledger/CostBook.js';
 import { LEDGER_TABLE, LedgerRow } from '../common/protocol/Ledger.js';
-import type { PlatformResult, TableStore } from '../platform/Types.js';
+import type { PlatformResult, TableStore } from '../storage/Types.js';
 
 /** Rows of one scan; at up to 64 KB a row, handling one blocks an entry for a few ms only. */
 export const LEDGER_PAGE_ROWS = 8;
--- a/src/ledger/LedgerWriter.test.ts
+++ b/src/ledger/LedgerWriter.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { LedgerRow } from '../common/protocol/Ledger.js';
-import { FakeTableStore, type TableFault } from '../platform/testing/FakeTableStore.js';
+import { FakeTableStore, type TableFault } from '../storage/testing/FakeTableStore.js';
 import { createLogger } from '../telemetry/Logger.js';
 import { SimulatedTime } from '../follower/testing/SimulatedTime.js';
 import type { Timers } from '../follower/Types.js';
--- a/src/ledger/LedgerWriter.ts
+++ b/src/ledger/LedgerWriter.ts
@@ -2,7 +2,7 @@
 import type { Disposable } from '../common/events/Types.js';
 import { LEDGER_TABLE, LedgerRow, ledgerKey, type LedgerEntry } from '../common/protocol/Ledger.js';
 import type { Clock } from '../common/time/Types.js';
-import type { PlatformResult, Row, TableStore } from '../platform/Types.js';
+import type { PlatformResult, Row, TableStore } from '../storage/Types.js';
 import type { Logger } from '../telemetry/Logger.js';
 import { SystemTimers } from '../follower/SystemTimers.js';
 import type { Timers } from '../follower/Types.js';
--- a/src/ledger/measure/MeasureLedger.ts
+++ b/src/ledger/measure/MeasureLedger.ts
@@ -1,14 +1,14 @@
 /**
- * Measures the ledger of one writer: `node --expose-gc dist/ledger/measure/MeasureLedger.js --keys 100`.
+ * Measures the ledger of one writer: `node --expose-gc target/src/ledger/measure/MeasureLedger.js --keys 100`.
  * A key is one active (account, template, stage). Time is simulated, writes go to a table in memory.
  * Prints one JSON line.
  */
 import { setImmediate } from 'node:timers/promises';
 import yargs from 'yargs';
 import { SeededRandom } from '../../common/time/SeededRandom.js';
-import { MemoryTable } from '../../platform/MemoryTable.js';
+import { MemoryTable } from '../../storage/MemoryTable.js';
 import type { Timers } from '../../follower/Types.js';
-import type { TableStore } from '../../platform/Types.js';
+import type { TableStore } from '../../storage/Types.js';
 import { createLogger } from '../../telemetry/Logger.js';
 import { LedgerWriter } from '../LedgerWriter.js';
 
--- a/src/load/LoadCommand.ts
+++ b/src/load/LoadCommand.ts
@@ -173,6 +173,6 @@
 function version(): string {
   // The package file is read once, before anything is started.
   // eslint-disable-next-line n/no-sync
-  const text = readFileSync(new URL('../../package.json', import.meta.url), 'utf8');
+  const text = readFileSync(new URL('../../../package.json', import.meta.url), 'utf8');
   return (JSON.parse(text) as { version: string }).version;
 }
--- a/src/load/demo/Costs.ts
+++ b/src/load/demo/Costs.ts
@@ -1,7 +1,7 @@
 /** Usage by client account, template and stage, as the product's cost report gives it. */
 import type { UsageClass, Usage } from '../../common/protocol/Usage.js';
 import { readLedger } from '../../ledger/LedgerReader.js';
-import { HttpTableStore } from '../../platform/HttpTableStore.js';
+import { HttpTableStore } from '../../storage/HttpTableStore.js';
 import type { Cluster } from '../launch/Cluster.js';
 
 /** Usage of one account, template and stage. */
--- a/src/load/golden/Sessions.test.ts
+++ b/src/load/golden/Sessions.test.ts
@@ -18,7 +18,7 @@
 after(() => cluster.dispose());
 
 function goldenFile(name: string): string {
-  return fileURLToPath(new URL(`../../../src/load/golden/${name}.golden.txt`, import.meta.url));
+  return fileURLToPath(new URL(`../../../../src/load/golden/${name}.golden.txt`, import.meta.url));
 }
 
 Object.entries(SESSIONS).forEach(([name, session]) => {
--- a/src/load/launch/ManagedProcess.ts
+++ b/src/load/launch/ManagedProcess.ts
@@ -8,7 +8,7 @@
 export interface ProcessSpecification {
   /** Unique name, such as `entry-1`. */
   readonly name: string;
-  /** File in `dist/bin` without extension. */
+  /** File in `target/src/bin` without extension. */
   readonly binary: string;
   readonly arguments: readonly string[];
   /** File that gets standard error. */
--- a/src/load/measure/runs/LedgerCost.ts
+++ b/src/load/measure/runs/LedgerCost.ts
@@ -1,9 +1,9 @@
 /** Rows and bytes that the ledger writes in one flush, over counters with new usage. */
 import { createLogger } from '../../../telemetry/Logger.js';
 import { LedgerWriter } from '../../../ledger/LedgerWriter.js';
-import { MemoryTable } from '../../../platform/MemoryTable.js';
-import { SystemClock } from '../../../platform/SystemClock.js';
-import type { TableStore } from '../../../platform/Types.js';
+import { MemoryTable } from '../../../storage/MemoryTable.js';
+import { SystemClock } from '../../../storage/SystemClock.js';
+import type { TableStore } from '../../../storage/Types.js';
 import type { Measurement, Point } from '../Types.js';
 
 /** Counters: account x template x stage x class x agent. The second is 270 accounts x 19 templates. */
--- /dev/null
+++ b/src/serving/EventParser.ts
@@ -0,0 +1,36 @@
+/** Splits an event stream at the ends of its events and reads their ids. */
+
+const EVENT_END = Buffer.from('\n\n');
+const ID_FIELD = 'id:';
+
+/** Collects bytes of an event stream into whole events. */
+export class EventParser {
+  private rest: Buffer = Buffer.alloc(0);
+
+  /** @returns whole events one by one */
+  push(chunk: Buffer): { readonly data: Buffer; readonly id: string | undefined }[] {
+    this.rest = this.rest.length === 0 ? chunk : Buffer.concat([this.rest, chunk]);
+    const events = [];
+    let end = this.rest.indexOf(EVENT_END);
+    while (end >= 0) {
+      const data = this.rest.subarray(0, end + EVENT_END.length);
+      events.push({ data, id: idOf(data) });
+      this.rest = this.rest.subarray(end + EVENT_END.length);
+      end = this.rest.indexOf(EVENT_END);
+    }
+    return events;
+  }
+
+  /** Bytes after the last whole event. */
+  get remainder(): Buffer {
+    return this.rest;
+  }
+}
+
+function idOf(event: Buffer): string | undefined {
+  const line = event
+    .toString('latin1')
+    .split('\n')
+    .find((text) => text.startsWith(ID_FIELD));
+  return line?.slice(ID_FIELD.length).trim();
+}
--- /dev/null
+++ b/src/serving/HttpHeaders.ts
@@ -0,0 +1,48 @@
+/** Headers of one HTTP connection, which are never passed on (RFC 9110, section 7.6.1). */
+
+const CONNECTION_HEADERS: ReadonlySet<string> = new Set([
+  'connection',
+  'keep-alive',
+  'proxy-connection',
+  'proxy-authenticate',
+  'proxy-authorization',
+  'te',
+  'trailer',
+  'transfer-encoding',
+  'upgrade',
+  'expect',
+]);
+
+/**
+ * @param headers - names and values in turn
+ * @param name - lowercase name
+ * @returns first value of the header
+ */
+export function headerValue(headers: readonly string[], name: string): string | undefined {
+  for (let index = 0; index < headers.length; index += 2) {
+    if (headers[index]?.toLowerCase() === name) return headers[index + 1];
+  }
+  return undefined;
+}
+
+/**
+ * @param headers - names and values in turn
+ * @param dropped - further lowercase names to leave out
+ * @returns the headers that concern more than one connection
+ */
+export function endToEndHeaders(
+  headers: readonly string[],
+  dropped: ReadonlySet<string> = new Set(),
+): string[] {
+  const named = new Set(
+    (headerValue(headers, 'connection') ?? '').split(',').map((name) => name.trim().toLowerCase()),
+  );
+  const kept: string[] = [];
+  for (let index = 0; index < headers.length; index += 2) {
+    const name = headers[index]!;
+    const key = name.toLowerCase();
+    const isKept = !CONNECTION_HEADERS.has(key) && !named.has(key) && !dropped.has(key);
+    if (isKept) kept.push(name, headers[index + 1]!);
+  }
+  return kept;
+}
--- /dev/null
+++ b/src/serving/Ingress.ts
@@ -0,0 +1,227 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { RouteTable } from '../common/serving/RouteTable.js';
+import type { RequestLimits, Route } from '../common/serving/ServingConfiguration.js';
+import type { Clock } from '../common/time/Types.js';
+import type { Logger } from '../telemetry/Logger.js';
+import type { CallerRequest } from './CallerRequest.js';
+import { CallerResponse, NOT_RUN_STATUS, TIMED_OUT_STATUS } from './CallerResponse.js';
+import { headerValue } from './HttpHeaders.js';
+import { RequestTrace } from './RequestTrace.js';
+import type { ServingMetrics } from './ServingMetrics.js';
+import type { ServingProtocol } from './Types.js';
+
+/** Largest headers read before a configuration is known, in bytes. */
+const MAX_HEADER_BYTES = 16_384;
+
+/** Interval of Node's checks for connections that exceed their time-outs, in ms. */
+const CONNECTION_CHECK_MS = 500;
+
+/** Idle connections are kept a little longer than callers use them, in ms. */
+const IDLE_MARGIN_MS = 500;
+
+/** Retry-After while no configuration is known, in ms: a process learns it in about a second. */
+const NO_CONFIGURATION_RETRY_MS = 1000;
+
+/** What {@link Ingress} needs of its surroundings. */
+export interface IngressServices {
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly protocol: ServingProtocol;
+  readonly metrics: ServingMetrics;
+  readonly table: () => RouteTable | undefined;
+  readonly isStopping: () => boolean;
+  readonly serve: (request: CallerRequest) => Promise<void>;
+}
+
+/** Takes callers' connections, and reads and checks their requests. */
+export class Ingress {
+  private readonly server: Server;
+
+  private running = 0;
+
+  private nextId = 1;
+
+  constructor(private readonly services: IngressServices) {
+    this.server = createServer({
+      maxHeaderSize: MAX_HEADER_BYTES,
+      connectionsCheckingInterval: CONNECTION_CHECK_MS,
+      noDelay: true,
+    });
+    this.server.on('request', (request, response) => this.accept(request, response));
+  }
+
+  /** Requests that have no final answer yet. */
+  get requestsRunning(): number {
+    return this.running;
+  }
+
+  listen(ip: string, port: number): Promise<void> {
+    return new Promise((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen({ host: ip, port, backlog: LISTEN_BACKLOG }, resolve);
+    });
+  }
+
+  /** Follows the limits of a new configuration. */
+  applyLimits(limits: RequestLimits): void {
+    this.server.headersTimeout = limits.headerTimeoutMs;
+    this.server.requestTimeout = limits.headerTimeoutMs + limits.idleTimeoutMs;
+    this.server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_MARGIN_MS;
+  }
+
+  /** Takes no more connections and closes idle ones; the others close after their answers. */
+  closeIdle(): void {
+    if (this.server.listening) this.server.close();
+    this.server.closeIdleConnections();
+  }
+
+  private accept(message: IncomingMessage, response: ServerResponse): void {
+    this.running += 1;
+    response.once('close', () => {
+      this.running -= 1;
+    });
+    this.handle(message, response).catch((error: unknown) => {
+      this.services.logger.error('request handling failed', { error });
+      response.destroy();
+    });
+  }
+
+  private async handle(message: IncomingMessage, response: ServerResponse): Promise<void> {
+    const { clock, protocol, table, isStopping, metrics } = this.services;
+    const receivedAt = clock.now();
+    const attributes = protocol.readRequest(message.rawHeaders);
+    const answer = new CallerResponse(response, protocol, attributes.attemptId, isStopping);
+    const routes = table();
+    if (!routes) {
+      this.refuse(answer, NOT_RUN_STATUS, 'no configuration yet', NO_CONFIGURATION_RETRY_MS);
+      return;
+    }
+    const target = message.url ?? '/';
+    const route = routes.route(headerValue(message.rawHeaders, 'host') ?? '', target);
+    if (!route) {
+      this.refuse(answer, 404, 'no such route');
+      return;
+    }
+    const account = routes.account(attributes.apiKey);
+    if (!account && routes.requiresKey && !route.isPublic) {
+      this.refuse(answer, 401, 'unknown key');
+      return;
+    }
+    const deadlineAt = receivedAt + Math.min(route.timeoutMs, attributes.deadlineMs ?? Infinity);
+    const abort = new AbortController();
+    const trace = new RequestTrace();
+    const timer = setTimeout(() => {
+      abort.abort();
+      this.timeOut(answer, trace.mayHaveRun, attributes.attemptId, route);
+    }, deadlineAt - clock.now());
+    response.once('close', () => {
+      clearTimeout(timer);
+      abort.abort();
+      metrics.requestEnded(route.name, response.statusCode, clock.now() - receivedAt);
+      this.logEnd(message, response, route, attributes.attemptId, clock.now() - receivedAt);
+    });
+    const body = await this.readBody(message, answer, routes.configuration.limits.bodyBytes);
+    if (!body || abort.signal.aborted) return;
+    const id = `${this.nextId}`;
+    this.nextId += 1;
+    await this.services.serve({
+      id,
+      route,
+      ...(account && { account }),
+      attributes,
+      method: message.method ?? 'GET',
+      target,
+      headers: message.rawHeaders,
+      body,
+      response: answer,
+      configurationVersion: routes.version,
+      receivedAt,
+      deadlineAt,
+      dueAt: receivedAt + route.objectiveMs - CALLER_LINK_MS,
+      priority: account?.priority ?? route.priority,
+      signal: abort.signal,
+      trace,
+    });
+  }
+
+  /** @returns the body; undefined if it is too large or the caller left */
+  private readBody(
+    message: IncomingMessage,
+    answer: CallerResponse,
+    maxBytes: number,
+  ): Promise<Buffer | undefined> {
+    return new Promise((resolve) => {
+      const chunks: Buffer[] = [];
+      let size = 0;
+      const refuse = () => {
+        message.removeAllListeners('data');
+        message.resume();
+        this.refuse(answer, 413, 'body too large');
+        resolve(undefined);
+      };
+      if (Number(message.headers['content-length'] ?? 0) > maxBytes) {
+        refuse();
+        return;
+      }
+      message.on('data', (chunk: Buffer) => {
+        size += chunk.length;
+        chunks.push(chunk);
+        if (size > maxBytes) refuse();
+      });
+      message.on('end', () => resolve(Buffer.concat(chunks)));
+      message.on('error', () => resolve(undefined));
+      message.on('close', () => resolve(undefined));
+    });
+  }
+
+  /** A request whose time is over is answered at once, whatever its servers do. */
+  private timeOut(
+    answer: CallerResponse,
+    mayHaveRun: boolean,
+    attemptId: string | undefined,
+    route: Route,
+  ): void {
+    if (answer.isFinished) return;
+    this.services.logger.info('request timed out', {
+      request: attemptId,
+      route: route.name,
+      mayHaveRun,
+      hasStarted: answer.hasStarted,
+    });
+    const status = mayHaveRun ? TIMED_OUT_STATUS : NOT_RUN_STATUS;
+    answer.refuse({ status, reason: 'time-out' });
+  }
+
+  private refuse(
+    answer: CallerResponse,
+    status: number,
+    reason: string,
+    retryAfterMs?: number,
+  ): void {
+    this.services.logger.info('request rejected', { status, reason });
+    answer.refuse({ status, reason, ...(retryAfterMs !== undefined && { retryAfterMs }) });
+  }
+
+  private logEnd(
+    message: IncomingMessage,
+    response: ServerResponse,
+    route: Route,
+    attemptId: string | undefined,
+    durationMs: number,
+  ): void {
+    const isWhole = response.writableFinished;
+    this.services.logger.info('request ended', {
+      request: attemptId,
+      route: route.name,
+      status: response.headersSent ? response.statusCode : undefined,
+      isWhole,
+      durationMs: Math.round(durationMs),
+    });
+  }
+}
+
+/** Connections that wait to be accepted; a burst of callers connects at once. */
+const LISTEN_BACKLOG = 1024;
+
+/** Round trip between callers and the entry, in ms, which counts against the objective. */
+const CALLER_LINK_MS = 8;
--- /dev/null
+++ b/src/serving/PlainForwarder.ts
@@ -0,0 +1,62 @@
+import type { BackendServer } from '../common/serving/ServingConfiguration.js';
+import type { Clock } from '../common/time/Types.js';
+import { bufferedCall } from './BufferedCall.js';
+import { isRepeatable, type CallerRequest } from './CallerRequest.js';
+import type { Connections } from './Connections.js';
+import { isServerError, type ForwardOrder, type ForwardOutcome } from './ForwardOutcome.js';
+import type { ServingProtocol } from './Types.js';
+
+/** What {@link forwardPlain} needs of its surroundings. */
+export interface ForwardServices {
+  readonly clock: Clock;
+  readonly connections: Connections;
+  readonly protocol: ServingProtocol;
+}
+
+/**
+ * Forwards a request whose answer is held until it is whole, so that a broken one never reaches the
+ * caller.
+ * @param services - connections and protocol
+ * @param request - caller's request
+ * @param server - backend server
+ * @param order - headers to send
+ * @param timeoutMs - time for this server
+ */
+export async function forwardPlain(
+  services: ForwardServices,
+  request: CallerRequest,
+  server: BackendServer,
+  order: ForwardOrder,
+  timeoutMs: number,
+): Promise<ForwardOutcome> {
+  const { connections, protocol } = services;
+  // An unsafe call goes on when its caller leaves: it can't be undone.
+  const signal = request.route.kind === 'unsafe' ? undefined : request.signal;
+  const response = await bufferedCall(
+    connections.to(server),
+    {
+      method: request.method,
+      path: request.target,
+      headers: order.headers,
+      ...(request.body.length > 0 && { body: request.body }),
+      needsFreshConnection: !isRepeatable(request),
+    },
+    { timeoutMs, ...(signal && { signal }) },
+  );
+  if (response.kind === 'failed') {
+    const { kind, message } = response.failure;
+    if (signal?.aborted) return { kind: 'cancelled' };
+    return { kind, cause: message };
+  }
+  const { status, headers, body } = response;
+  const attributes = protocol.readResponse(headers);
+  if (attributes.isNotExecuted) return { kind: 'not-executed', status };
+  const isOwn = attributes.attemptId === request.attributes.attemptId;
+  const isSuccess = status >= 200 && status < 300;
+  if (!isOwn || attributes.isEncoded || (isSuccess && !attributes.isSigned)) {
+    return { kind: 'broken', cause: `answer of another request or not whole (status ${status})` };
+  }
+  if (isServerError(status)) return { kind: 'server-error', status, headers, body };
+  request.response.pass(status, headers, body);
+  return { kind: 'answered', status };
+}
--- /dev/null
+++ b/src/serving/RequestRunner.ts
@@ -0,0 +1,341 @@
+import type { EnginePlacement } from '../common/serving/EnginePlacement.js';
+import type { RouteTable } from '../common/serving/RouteTable.js';
+import { choosePlainServer, type ServerRecords } from '../common/serving/ServerChoice.js';
+import type { ServerDirectory } from '../common/serving/ServerDirectory.js';
+import type { BackendServer } from '../common/serving/ServingConfiguration.js';
+import type { Logger } from '../telemetry/Logger.js';
+import { isRepeatable, type CallerRequest } from './CallerRequest.js';
+import { NOT_RUN_STATUS, UNKNOWN_STATUS } from './CallerResponse.js';
+import type { ForwardOrder, ForwardOutcome } from './ForwardOutcome.js';
+import { forwardPlain, type ForwardServices } from './PlainForwarder.js';
+import type { StageResults, StageRunner } from './StageRunner.js';
+import { FIRST_EVENT_MS } from './StageRunner.js';
+import { StreamForwarder, type StreamPatience } from './StreamForwarder.js';
+import type { PeerView } from './peers/PeerView.js';
+import { Progress } from './Progress.js';
+import type { ServiceBudgets } from './ServiceBudgets.js';
+
+/** Sends of one request, failed connections included. */
+const MAX_SENDS = 6;
+
+/** Retry-After of requests that met no usable server, in ms: servers return in about a second. */
+const NO_SERVER_RETRY_MS = 500;
+
+/** Retry-After of requests that full servers turned away, in ms. */
+const FULL_RETRY_MS = 200;
+
+/** A repeatable request leaves a silent server after this many times its objective. */
+const SILENCE_FACTOR = 2.5;
+const MIN_SILENCE_MS = 400;
+
+/** A resumable stream leaves a server that pauses this many times longer than allowed. */
+const PAUSE_FACTOR = 5;
+
+/** What {@link RequestRunner} needs of its surroundings. */
+export interface RunnerServices extends ForwardServices {
+  readonly logger: Logger;
+  readonly ownId: string;
+  readonly failureDomain: string;
+  readonly directory: ServerDirectory;
+  readonly records: ServerRecords;
+  readonly placement: EnginePlacement;
+  readonly stages: StageRunner;
+  readonly budgets: ServiceBudgets;
+  readonly view: PeerView;
+  readonly table: () => RouteTable | undefined;
+  readonly random: () => number;
+}
+
+type Continuation = 'again' | 'stop';
+
+type OutcomeHandlers = {
+  readonly [Kind in ForwardOutcome['kind']]: (
+    request: CallerRequest,
+    progress: Progress,
+    outcome: Extract<ForwardOutcome, { kind: Kind }>,
+  ) => Continuation;
+};
+
+/** Serves requests: stages, choice of a backend server, forwarding and repeats. */
+export class RequestRunner {
+  private readonly handlers: OutcomeHandlers = {
+    answered: () => 'stop',
+    cancelled: () => 'stop',
+    unsent: () => 'again',
+    'not-executed': () => 'again',
+    broken: (request, progress, { cause }) => this.repeatOrFail(request, progress, cause),
+    'server-error': (request, progress, { status }) =>
+      this.repeatOrFail(request, progress, `status ${status}`),
+    interrupted: (request, progress, { cause }) => this.repeatOrFail(request, progress, cause),
+  };
+
+  constructor(private readonly services: RunnerServices) {}
+
+  /** Serves one request to its final answer. */
+  async run(request: CallerRequest): Promise<void> {
+    const service = this.chooseService(request);
+    this.services.budgets.of(service).noteRequest();
+    const refusal = this.admissionRefusal(request);
+    if (refusal) {
+      this.refuse(request, refusal.reason, refusal.retryAfterMs);
+      return;
+    }
+    const results = await this.runStages(request);
+    if (!results) return;
+    const release = once(() => results.release());
+    try {
+      await this.serve(request, service, results, release);
+    } finally {
+      release();
+    }
+  }
+
+  /** A request that can't end before its deadline is refused before it costs any work. */
+  private admissionRefusal(
+    request: CallerRequest,
+  ): { reason: string; retryAfterMs: number } | undefined {
+    const { view, stages, clock } = this.services;
+    const needs = request.route.stages.filter(
+      (_, index) => (request.attributes.pieceCounts[index] ?? 0) > 0,
+    );
+    const backlogMs = Math.max(0, ...needs.map(({ service }) => view.backlogOf(service)));
+    const neededMs = backlogMs + stages.shortestMs(request) + FIRST_EVENT_MS;
+    const remainingMs = request.deadlineAt - clock.now();
+    if (needs.length === 0 || neededMs <= remainingMs) return undefined;
+    return { reason: 'stages are overloaded', retryAfterMs: neededMs - remainingMs };
+  }
+
+  private async runStages(
+    request: CallerRequest,
+  ): Promise<Extract<StageResults, { kind: 'done' }> | undefined> {
+    const needsStages = request.attributes.pieceCounts.some((pieces) => pieces > 0);
+    if (request.route.stages.length === 0 || !needsStages) {
+      return { kind: 'done', results: [], release: () => undefined };
+    }
+    const results = await this.services.stages.run(request);
+    if (request.signal.aborted) {
+      if (results.kind === 'done') results.release();
+      return undefined;
+    }
+    if (results.kind === 'done') return results;
+    const { service, reason } = results;
+    const retryAfterMs = Math.max(FULL_RETRY_MS, this.services.view.backlogOf(service));
+    this.refuse(request, `stage ${reason} at ${service}`, retryAfterMs);
+    return undefined;
+  }
+
+  private async serve(
+    request: CallerRequest,
+    service: string,
+    results: Extract<StageResults, { kind: 'done' }>,
+    release: () => void,
+  ): Promise<void> {
+    const progress = new Progress(request.attributes.lastEventId);
+    let next: Continuation = 'again';
+    while (next === 'again') {
+      const server = this.chooseServer(request, service, progress.tried, results);
+      const mayRepeat = progress.arrivals === 0 || this.services.budgets.of(service).trySpend();
+      if (!server || progress.sends >= MAX_SENDS || !mayRepeat) {
+        this.giveUp(request, progress, server ? 'repeats exhausted' : 'no usable server');
+        return;
+      }
+      progress.noteSend(server.id);
+      request.trace.mark(true);
+      const outcome = await this.forward(request, server, progress, results, release);
+      const hasNotRun = outcome.kind === 'unsent' || outcome.kind === 'not-executed';
+      if (hasNotRun && progress.runs === 0) request.trace.mark(false);
+      progress.noteOutcome(outcome);
+      this.log(request, server, outcome, progress);
+      const handler = this.handlers[outcome.kind] as (
+        value: CallerRequest,
+        state: Progress,
+        result: ForwardOutcome,
+      ) => Continuation;
+      next = handler(request, progress, outcome);
+    }
+  }
+
+  private chooseService({ route, id }: CallerRequest): string {
+    const total = route.targets.reduce((sum, { weight }) => sum + weight, 0);
+    let point = this.services.random() * total;
+    const chosen = route.targets.find(({ weight }) => {
+      point -= weight;
+      return point < 0;
+    });
+    const [first] = route.targets;
+    if (!chosen && !first) throw new Error(`route without a service for request ${id}`);
+    return (chosen ?? first)!.service;
+  }
+
+  private chooseServer(
+    request: CallerRequest,
+    service: string,
+    tried: ReadonlySet<string>,
+    results: Extract<StageResults, { kind: 'done' }>,
+  ): BackendServer | undefined {
+    const { directory, records, placement, failureDomain, random, protocol, view } = this.services;
+    const usable = directory.usable(service);
+    const untried = usable.filter(({ id }) => !tried.has(id));
+    const candidates = records.healthy(untried.length > 0 ? untried : usable);
+    const isEngine = this.services.table()?.service(service)?.engine !== undefined;
+    if (!isEngine) return choosePlainServer(candidates, records, failureDomain, random);
+    return placement.choose(candidates, {
+      promptParts: request.attributes.promptParts,
+      results: results.results.flatMap(({ handle, bytes }) => {
+        const maker = directory.atAddress(protocol.addressOfResult(handle));
+        return maker ? [{ failureDomain: maker.failureDomain, bytes }] : [];
+      }),
+      reportedLoad: (id) => view.engineLoad(id),
+    });
+  }
+
+  private async forward(
+    request: CallerRequest,
+    server: BackendServer,
+    progress: Progress,
+    results: Extract<StageResults, { kind: 'done' }>,
+    release: () => void,
+  ): Promise<ForwardOutcome> {
+    const { records, placement, clock } = this.services;
+    const { promptParts } = request.attributes;
+    const tokens = placement.missingTokens(server.id, promptParts);
+    if (promptParts.length > 0) placement.noteParts(server.id, promptParts);
+    const startedAt = clock.now();
+    records.begin(server.id, tokens);
+    const markPrefilled = once(() => records.markPrefilled(server.id, tokens));
+    const order = this.orderFor(request, server, progress, results, () => {
+      markPrefilled();
+      release();
+    });
+    try {
+      const outcome = await this.send(request, server, order);
+      this.judge(server, outcome, clock.now() - startedAt);
+      return outcome;
+    } finally {
+      markPrefilled();
+      records.end(server.id);
+    }
+  }
+
+  private send(
+    request: CallerRequest,
+    server: BackendServer,
+    order: ForwardOrder,
+  ): Promise<ForwardOutcome> {
+    const { route } = request;
+    const remainingMs = request.deadlineAt - this.services.clock.now();
+    const silenceMs = Math.max(MIN_SILENCE_MS, route.objectiveMs * SILENCE_FACTOR);
+    const isRepeatableElsewhere = isRepeatable(request) && route.maxServers > 1;
+    if (route.kind !== 'streaming') {
+      const timeoutMs = isRepeatableElsewhere ? Math.min(silenceMs, remainingMs) : remainingMs;
+      return forwardPlain(this.services, request, server, order, timeoutMs);
+    }
+    const patience: StreamPatience = isRepeatableElsewhere
+      ? { firstEventMs: silenceMs, nextEventMs: (route.maxEventGapMs ?? silenceMs) * PAUSE_FACTOR }
+      : {};
+    return new StreamForwarder(this.services, request, order, patience).forward(server);
+  }
+
+  private orderFor(
+    request: CallerRequest,
+    server: BackendServer,
+    progress: Progress,
+    results: Extract<StageResults, { kind: 'done' }>,
+    onFirstEvent: () => void,
+  ): ForwardOrder {
+    const inputs = results.results.map(({ handle }) => handle);
+    const { lastEventId } = progress;
+    const headers = this.services.protocol.forwardHeaders(request.headers, {
+      remainingMs: Math.max(1, Math.floor(request.deadlineAt - this.services.clock.now())),
+      serverId: server.id,
+      ...(request.account && { account: request.account.name }),
+      ...(inputs.length > 0 && { inputs }),
+      ...(request.route.usesEngine && { urgency: request.priority }),
+      ...(lastEventId !== undefined && { lastEventId }),
+    });
+    return {
+      serverId: server.id,
+      headers,
+      onFirstEvent,
+      ...(lastEventId !== undefined && { lastEventId }),
+    };
+  }
+
+  private judge(server: BackendServer, outcome: ForwardOutcome, durationMs: number): void {
+    const { records } = this.services;
+    const signals = {
+      answered: 'succeeded',
+      unsent: 'unreachable',
+      'not-executed': 'full',
+      broken: 'failed',
+      'server-error': 'failed',
+      interrupted: 'failed',
+      cancelled: undefined,
+    } as const;
+    const signal = signals[outcome.kind];
+    if (signal) records.note(server.id, signal, durationMs);
+  }
+
+  private repeatOrFail(request: CallerRequest, progress: Progress, cause: string): Continuation {
+    progress.noteRun();
+    if (isRepeatable(request) && progress.runs < request.route.maxServers) return 'again';
+    this.giveUp(request, progress, cause);
+    return 'stop';
+  }
+
+  /** Gives the final answer of a request that no further server will get. */
+  private giveUp(request: CallerRequest, progress: Progress, reason: string): void {
+    const { response } = request;
+    if (response.hasStarted) {
+      response.cut();
+      return;
+    }
+    const { lastError } = progress;
+    if (lastError) {
+      response.pass(lastError.status, lastError.headers, lastError.body);
+      return;
+    }
+    if (progress.runs > 0) response.refuse({ status: UNKNOWN_STATUS, reason });
+    else this.refuse(request, reason, progress.sends > 0 ? FULL_RETRY_MS : NO_SERVER_RETRY_MS);
+  }
+
+  private refuse(request: CallerRequest, reason: string, retryAfterMs: number): void {
+    this.services.logger.info('request refused, not run', {
+      request: request.attributes.attemptId,
+      route: request.route.name,
+      reason,
+      retryAfterMs: Math.round(retryAfterMs),
+      ageMs: Math.round(this.services.clock.now() - request.receivedAt),
+      configurationVersion: request.configurationVersion,
+    });
+    request.response.refuse({ status: NOT_RUN_STATUS, reason, retryAfterMs });
+  }
+
+  private log(
+    request: CallerRequest,
+    server: BackendServer,
+    outcome: ForwardOutcome,
+    progress: Progress,
+  ): void {
+    const isFailure = outcome.kind !== 'answered';
+    this.services.logger[isFailure ? 'info' : 'debug']('request forwarded', {
+      request: request.attributes.attemptId,
+      route: request.route.name,
+      server: server.id,
+      outcome: outcome.kind,
+      ...('cause' in outcome && { cause: outcome.cause }),
+      ...('status' in outcome && { status: outcome.status }),
+      send: progress.sends,
+      ageMs: Math.round(this.services.clock.now() - request.receivedAt),
+    });
+  }
+}
+
+function once(action: () => void): () => void {
+  let isDone = false;
+  return () => {
+    if (isDone) return;
+    isDone = true;
+    action();
+  };
+}
--- /dev/null
+++ b/src/serving/ServingMetrics.ts
@@ -0,0 +1,39 @@
+import type { Counter, Histogram } from '@opentelemetry/api';
+import type { Metrics } from '../telemetry/Metrics.js';
+
+/** Counters and histograms of a serving process. */
+export class ServingMetrics {
+  private readonly requests: Counter;
+
+  private readonly durations: Histogram;
+
+  private readonly outcomes: Counter;
+
+  private readonly stages: Histogram;
+
+  constructor({ meter }: Metrics) {
+    this.requests = meter.createCounter('requests', { description: 'Requests by final status' });
+    this.durations = meter.createHistogram('request_duration', {
+      unit: 'ms',
+      description: 'Time from a request to its final answer',
+    });
+    this.outcomes = meter.createCounter('forwards', { description: 'Forwards by outcome' });
+    this.stages = meter.createHistogram('stage_duration', {
+      unit: 'ms',
+      description: 'Time from asking for a stage to its results',
+    });
+  }
+
+  requestEnded(route: string, status: number, durationMs: number): void {
+    this.requests.add(1, { route, status });
+    this.durations.record(durationMs, { route });
+  }
+
+  forwardEnded(service: string, outcome: string): void {
+    this.outcomes.add(1, { service, outcome });
+  }
+
+  stageEnded(service: string, outcome: string, durationMs: number): void {
+    this.stages.record(durationMs, { service, outcome });
+  }
+}
--- /dev/null
+++ b/src/serving/StageBatcher.ts
@@ -0,0 +1,315 @@
+import { dispatch, spawn, start, stop, type Ref } from 'nact';
+import type { Clock } from '../common/time/Types.js';
+import type { ServerDirectory } from '../common/serving/ServerDirectory.js';
+import {
+  StageQueue,
+  type CallOutcome,
+  type PlannedCall,
+  type StageTask,
+  type TaskEnd,
+  type TaskOutcome,
+} from '../common/serving/StageQueue.js';
+import type { RouteTable } from '../common/serving/RouteTable.js';
+import type { BackendServer } from '../common/serving/ServingConfiguration.js';
+import type { Logger } from '../telemetry/Logger.js';
+import { bufferedCall } from './BufferedCall.js';
+import type { Connections } from './Connections.js';
+import type { ServingProtocol } from './Types.js';
+
+/** A call may take this many times its expected time; slow servers take up to five times. */
+const CALL_TIMEOUT_FACTOR = 6;
+
+/** Released results are collected for this long, in ms, so that one call names many. */
+const RELEASE_DELAY_MS = 12;
+const RELEASE_TIMEOUT_MS = 1000;
+
+/** Interval of checks for expired tasks and paused servers, in ms. */
+const TICK_MS = 20;
+
+type BatcherMessage =
+  | {
+      readonly type: 'submit';
+      readonly service: string;
+      readonly task: StageTask;
+      readonly onEnd: (outcome: TaskOutcome) => void;
+    }
+  | { readonly type: 'cancel'; readonly service: string; readonly task: StageTask }
+  | {
+      readonly type: 'call-ended';
+      readonly service: string;
+      readonly callId: number;
+      readonly outcome: CallOutcome;
+    }
+  | { readonly type: 'release'; readonly handles: readonly string[] }
+  | {
+      readonly type: 'released';
+      readonly server: BackendServer;
+      readonly handles: readonly string[];
+    }
+  | { readonly type: 'tick' }
+  | { readonly type: 'refresh' };
+
+type Handlers = {
+  readonly [Type in BatcherMessage['type']]: (
+    message: Extract<BatcherMessage, { type: Type }>,
+  ) => void;
+};
+
+/** What the batcher needs of its surroundings. */
+export interface BatcherServices {
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly directory: ServerDirectory;
+  readonly connections: Connections;
+  readonly protocol: ServingProtocol;
+  /** @returns routes and services in force */
+  readonly table: () => RouteTable | undefined;
+  /** @returns true if a piece of the service may be sent once more */
+  readonly mayRepeat: (service: string) => boolean;
+}
+
+/** Sends the pieces of stages to their backend servers in batches. One actor owns the queues. */
+export class StageBatcher {
+  private readonly queues = new Map<string, StageQueue>();
+
+  private readonly listeners = new Map<string, (outcome: TaskOutcome) => void>();
+
+  private readonly taskIds = new Map<StageTask, number>();
+
+  private readonly releases = new Map<string, string[]>();
+
+  private readonly system = start();
+
+  private readonly reference: Ref<BatcherMessage>;
+
+  private readonly ticker: NodeJS.Timeout;
+
+  private readonly handlers: Handlers = {
+    submit: ({ service, task, onEnd }) => this.submit(service, task, onEnd),
+    cancel: ({ service, task }) => this.cancel(service, task),
+    'call-ended': ({ service, callId, outcome }) => {
+      const queue = this.queues.get(service);
+      if (queue) this.report(service, queue.finishCall(callId, outcome));
+      this.advance(service);
+    },
+    release: ({ handles }) => this.release(handles),
+    released: ({ server, handles }) => {
+      this.queues.get(server.service)?.release(server.id, handles);
+      this.advance(server.service);
+    },
+    tick: () => this.queues.forEach((queue, service) => !queue.isEmpty && this.advance(service)),
+    refresh: () => this.refresh(),
+  };
+
+  constructor(private readonly services: BatcherServices) {
+    this.reference = spawn(
+      this.system,
+      (_state: undefined, message: BatcherMessage) => {
+        this.handle(message);
+        return undefined;
+      },
+      'stage-batcher',
+      {
+        onCrash: (message, error, supervision) => {
+          services.logger.error('batcher message failed', { type: message?.type, error });
+          return supervision.resume;
+        },
+      },
+    );
+    this.ticker = setInterval(() => this.send({ type: 'tick' }), TICK_MS);
+  }
+
+  /**
+   * Runs all pieces of a stage of one request.
+   * @param service - stage service
+   * @param task - pieces; `signal` cancels them
+   * @returns handles of the results, or why there are none
+   */
+  run(service: string, task: StageTask, signal: AbortSignal): Promise<TaskOutcome> {
+    return new Promise((resolve) => {
+      const onAbort = () => {
+        this.send({ type: 'cancel', service, task });
+        resolve({ kind: 'failed' });
+      };
+      signal.addEventListener('abort', onAbort, { once: true });
+      const onEnd = (outcome: TaskOutcome) => {
+        signal.removeEventListener('abort', onAbort);
+        resolve(outcome);
+      };
+      this.send({ type: 'submit', service, task, onEnd });
+      if (signal.aborted) onAbort();
+    });
+  }
+
+  /** Frees the memory of results that nobody will read. */
+  releaseResults(handles: readonly string[]): void {
+    if (handles.length > 0) this.send({ type: 'release', handles });
+  }
+
+  /** Follows a change of the configuration or of the registered servers. */
+  updateServers(): void {
+    this.send({ type: 'refresh' });
+  }
+
+  /** @returns time in which everything that waits here could be started, by service, in ms */
+  backlogs(): Map<string, number> {
+    return new Map([...this.queues].map(([service, queue]) => [service, queue.backlogMs]));
+  }
+
+  dispose(): void {
+    clearInterval(this.ticker);
+    stop(this.system);
+  }
+
+  private send(message: BatcherMessage): void {
+    dispatch(this.reference, message);
+  }
+
+  private handle(message: BatcherMessage): void {
+    const handler = this.handlers[message.type] as (value: BatcherMessage) => void;
+    handler(message);
+  }
+
+  private submit(service: string, task: StageTask, onEnd: (outcome: TaskOutcome) => void): void {
+    const queue = this.queueOf(service);
+    if (!queue) {
+      onEnd({ kind: 'failed' });
+      return;
+    }
+    const taskId = queue.add(task);
+    this.taskIds.set(task, taskId);
+    this.listeners.set(listenerKey(service, taskId), (outcome) => {
+      this.taskIds.delete(task);
+      onEnd(outcome);
+    });
+    this.advance(service);
+  }
+
+  private cancel(service: string, task: StageTask): void {
+    const taskId = this.taskIds.get(task);
+    if (taskId === undefined) return;
+    this.taskIds.delete(task);
+    this.listeners.delete(listenerKey(service, taskId));
+    this.release(this.queues.get(service)?.cancel(taskId) ?? []);
+  }
+
+  private queueOf(service: string): StageQueue | undefined {
+    const known = this.queues.get(service);
+    if (known) return known;
+    const capacity = this.services.table()?.service(service)?.stage;
+    if (!capacity) return undefined;
+    const queue = new StageQueue(this.services.clock, capacity, () =>
+      this.services.mayRepeat(service),
+    );
+    queue.updateServers(this.services.directory.usable(service));
+    this.queues.set(service, queue);
+    return queue;
+  }
+
+  private refresh(): void {
+    this.queues.forEach((queue, service) => {
+      const capacity = this.services.table()?.service(service)?.stage;
+      if (capacity) queue.updateCapacity(capacity);
+      queue.updateServers(this.services.directory.usable(service));
+      this.advance(service);
+    });
+  }
+
+  private advance(service: string): void {
+    const queue = this.queues.get(service);
+    if (!queue) return;
+    this.report(service, queue.takeExpired());
+    this.release(queue.takeOrphans());
+    queue.plan().forEach((call) => {
+      this.makeCall(service, call).catch((error: unknown) =>
+        this.services.logger.error('stage call failed', { service, error }),
+      );
+    });
+  }
+
+  private report(service: string, ends: readonly TaskEnd[]): void {
+    ends.forEach(({ taskId, outcome }) => {
+      const key = listenerKey(service, taskId);
+      const listener = this.listeners.get(key);
+      this.listeners.delete(key);
+      if (listener) listener(outcome);
+    });
+  }
+
+  private async makeCall(service: string, call: PlannedCall): Promise<void> {
+    const { protocol, connections, clock, logger } = this.services;
+    const { server, pieces, callId, expectedMs } = call;
+    const request = protocol.stageCall(server.id, pieces, clock.now());
+    const response = await bufferedCall(
+      connections.to(server),
+      { ...request, needsFreshConnection: false },
+      { timeoutMs: expectedMs * CALL_TIMEOUT_FACTOR },
+    );
+    const outcome = this.outcomeOf(response, pieces.length);
+    if (outcome.kind !== 'answered') {
+      logger.warn('stage call not answered', {
+        service,
+        server: server.id,
+        pieces: pieces.length,
+        outcome: outcome.kind,
+        cause: response.kind === 'failed' ? response.failure.message : response.status,
+      });
+    }
+    this.send({ type: 'call-ended', service, callId, outcome });
+  }
+
+  private outcomeOf(
+    response: Awaited<ReturnType<typeof bufferedCall>>,
+    pieces: number,
+  ): CallOutcome {
+    const { protocol } = this.services;
+    if (response.kind === 'failed') {
+      return { kind: response.failure.kind === 'unsent' ? 'not-executed' : 'broken' };
+    }
+    if (response.status === 200) {
+      const outcomes = protocol.readStageOutcomes(response.body.toString('utf8'));
+      if (outcomes?.length === pieces) return { kind: 'answered', pieces: outcomes };
+      return { kind: 'broken' };
+    }
+    const { isNotExecuted } = protocol.readResponse(response.headers);
+    return { kind: isNotExecuted ? 'not-executed' : 'broken' };
+  }
+
+  private release(handles: readonly string[]): void {
+    handles.forEach((handle) => {
+      const address = this.services.protocol.addressOfResult(handle);
+      const pending = this.releases.get(address);
+      if (pending) {
+        pending.push(handle);
+        return;
+      }
+      this.releases.set(address, [handle]);
+      setTimeout(() => this.sendReleases(address), RELEASE_DELAY_MS);
+    });
+  }
+
+  private sendReleases(address: string): void {
+    const handles = this.releases.get(address) ?? [];
+    this.releases.delete(address);
+    const { directory, protocol, connections, logger } = this.services;
+    const server = directory.atAddress(address);
+    // A leaving server gets no more calls; its results go with it.
+    if (!server || server.isDraining) return;
+    const request = protocol.releaseCall(server.id, handles);
+    bufferedCall(
+      connections.to(server),
+      { ...request, needsFreshConnection: false },
+      { timeoutMs: RELEASE_TIMEOUT_MS },
+    ).then(
+      (response) => {
+        if (response.kind === 'answered') this.send({ type: 'released', server, handles });
+        else logger.warn('results not released', { server: server.id, cause: response.failure });
+      },
+      (error: unknown) => logger.error('release failed', { error }),
+    );
+  }
+}
+
+function listenerKey(service: string, taskId: number): string {
+  return `${service}/${taskId}`;
+}
--- /dev/null
+++ b/src/serving/StageClient.ts
@@ -0,0 +1,144 @@
+import type { Clock } from '../common/time/Types.js';
+import type { StageTask, TaskOutcome } from '../common/serving/StageQueue.js';
+import type { Logger } from '../telemetry/Logger.js';
+import type { StageBatcher } from './StageBatcher.js';
+import type { PeerClients } from './peers/PeerClients.js';
+import type { Heartbeat, StageOrder } from './peers/PeerMessages.js';
+import type { PeerView } from './peers/PeerView.js';
+
+/** Interval at which a waiting call checks that its peer lives, in ms. */
+const LIVENESS_CHECK_MS = 200;
+
+/** Peers tried before a stage fails. The last try is made by this process itself. */
+const MAX_PEERS = 3;
+
+/** Time after which results are given to a peer for release, in ms, so that one call names many. */
+const RELEASE_DELAY_MS = 10;
+const RELEASE_TIMEOUT_MS = 1000;
+
+/** What {@link StageClient} needs of its surroundings. */
+export interface StageClientServices {
+  readonly ownId: string;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly batcher: StageBatcher;
+  readonly clients: PeerClients;
+  readonly view: PeerView;
+}
+
+/** Runs stages at the process that batches their service, and elsewhere if that one is lost. */
+export class StageClient {
+  private readonly releases = new Map<string, string[]>();
+
+  constructor(private readonly services: StageClientServices) {}
+
+  /**
+   * Runs all pieces of a stage.
+   * @param service - stage service
+   * @param task - pieces, with times on the own clock
+   * @param signal - cancels them
+   */
+  async run(service: string, task: StageTask, signal: AbortSignal): Promise<TaskOutcome> {
+    const { view, ownId, logger } = this.services;
+    for (let tries = 0; tries < MAX_PEERS; tries += 1) {
+      const peer = view.batcherOf(service);
+      if (peer.id === ownId) break;
+      const outcome = await this.runAt(peer, service, task, signal);
+      if (outcome) return outcome;
+      if (signal.aborted) return { kind: 'failed' };
+      logger.warn('batching process lost', { service, peer: peer.id, request: task.attemptId });
+      view.avoid(peer.id);
+    }
+    return this.services.batcher.run(service, task, signal);
+  }
+
+  /** Frees results of a service's stages that nobody will read. */
+  release(service: string, handles: readonly string[]): void {
+    if (handles.length === 0) return;
+    const pending = this.releases.get(service);
+    if (pending) {
+      pending.push(...handles);
+      return;
+    }
+    this.releases.set(service, [...handles]);
+    setTimeout(() => this.sendReleases(service), RELEASE_DELAY_MS);
+  }
+
+  /** @returns the outcome; undefined if the peer was lost, so that its work is unknown */
+  private async runAt(
+    peer: Heartbeat,
+    service: string,
+    task: StageTask,
+    signal: AbortSignal,
+  ): Promise<TaskOutcome | undefined> {
+    const abort = new AbortController();
+    const onAbort = () => abort.abort();
+    signal.addEventListener('abort', onAbort, { once: true });
+    const check = setInterval(() => {
+      if (!this.services.view.isLive(peer.id)) abort.abort();
+    }, LIVENESS_CHECK_MS);
+    try {
+      const client = this.services.clients.to(peer.address);
+      return await client.runStage.mutate(this.orderOf(service, task), { signal: abort.signal });
+    } catch (error) {
+      if (!signal.aborted) this.services.logger.debug('peer call failed', { peer: peer.id, error });
+      return undefined;
+    } finally {
+      clearInterval(check);
+      signal.removeEventListener('abort', onAbort);
+    }
+  }
+
+  private orderOf(service: string, task: StageTask): StageOrder {
+    const now = this.services.clock.now();
+    return {
+      service,
+      attemptId: task.attemptId,
+      stage: task.stage,
+      pieces: task.pieces,
+      ...(task.key !== undefined && { key: task.key }),
+      inputs: [...task.inputs],
+      resultBytes: task.resultBytes,
+      priority: task.priority,
+      dueInMs: task.dueAt - now,
+      expiresInMs: task.expiresAt - now,
+    };
+  }
+
+  private sendReleases(service: string): void {
+    const handles = this.releases.get(service) ?? [];
+    this.releases.delete(service);
+    const { view, ownId, batcher, clients, logger } = this.services;
+    const peer = view.batcherOf(service);
+    if (peer.id === ownId) {
+      batcher.releaseResults(handles);
+      return;
+    }
+    clients
+      .to(peer.address)
+      .release.mutate({ handles }, { signal: AbortSignal.timeout(RELEASE_TIMEOUT_MS) })
+      .catch((error: unknown) => {
+        logger.warn('release at peer failed', { peer: peer.id, error });
+        batcher.releaseResults(handles);
+      });
+  }
+}
+
+/**
+ * @param order - as received
+ * @param now - on the own clock
+ * @returns the task with times on the own clock
+ */
+export function taskOfOrder(order: StageOrder, now: number): StageTask {
+  return {
+    attemptId: order.attemptId,
+    stage: order.stage,
+    pieces: order.pieces,
+    ...(order.key !== undefined && { key: order.key }),
+    inputs: order.inputs,
+    resultBytes: order.resultBytes,
+    priority: order.priority,
+    dueAt: now + order.dueInMs,
+    expiresAt: now + order.expiresInMs,
+  };
+}
--- /dev/null
+++ b/src/serving/StageRunner.ts
@@ -0,0 +1,146 @@
+import type { Clock } from '../common/time/Types.js';
+import type { RouteTable } from '../common/serving/RouteTable.js';
+import { StageGraph, type ReadyStage } from '../common/serving/StageGraph.js';
+import type { TaskOutcome } from '../common/serving/StageQueue.js';
+import type { CallerRequest } from './CallerRequest.js';
+import type { StageClient } from './StageClient.js';
+import type { StageTimes } from './StageTimes.js';
+
+/** Time from the last stage to the first event at an engine without a queue, in ms. */
+export const FIRST_EVENT_MS = 60;
+
+/** Results of the stages of a request. */
+export type StageResults =
+  | {
+      readonly kind: 'done';
+      /** Handles that the request itself reads, with the size of each, in bytes. */
+      readonly results: readonly { readonly handle: string; readonly bytes: number }[];
+      /** Frees the results. */
+      release(): void;
+    }
+  | {
+      readonly kind: 'failed';
+      readonly service: string;
+      readonly reason: Exclude<TaskOutcome['kind'], 'done'>;
+    };
+
+/** What {@link StageRunner} needs of its surroundings. */
+export interface StageRunnerServices {
+  readonly clock: Clock;
+  readonly stages: StageClient;
+  readonly times: StageTimes;
+  readonly table: () => RouteTable | undefined;
+}
+
+/** Runs the stages of requests in the order of their dependencies. */
+export class StageRunner {
+  constructor(private readonly services: StageRunnerServices) {}
+
+  /** @returns results of all stages, or the first failure */
+  async run(request: CallerRequest): Promise<StageResults> {
+    const { route, attributes } = request;
+    const graph = new StageGraph(route.stages, attributes.pieceCounts);
+    const abort = new AbortController();
+    const signal = AbortSignal.any([request.signal, abort.signal]);
+    let failure: StageResults | undefined;
+    const advance = async (): Promise<void> => {
+      await Promise.all(
+        graph.takeReady().map(async (ready) => {
+          const outcome = await this.runStage(request, graph, ready, signal);
+          if (outcome.kind !== 'done') {
+            const { service } = ready.definition;
+            failure ??= { kind: 'failed', service, reason: outcome.kind };
+            abort.abort();
+            return;
+          }
+          graph.complete(ready.stage, outcome.handles);
+          this.releaseConsumed(request, graph, ready.stage);
+          if (!failure) await advance();
+        }),
+      );
+    };
+    await advance();
+    const release = () => this.releaseFinal(request, graph);
+    if (failure) {
+      release();
+      return failure;
+    }
+    const sizes = new Map(
+      route.stages.flatMap((stage, index) =>
+        graph.handlesOf(index).map((handle) => [handle, stage.resultBytes] as const),
+      ),
+    );
+    const results = graph
+      .finalHandles()
+      .map((handle) => ({ handle, bytes: sizes.get(handle) ?? 0 }));
+    return { kind: 'done', results, release };
+  }
+
+  /** @returns shortest time in which all stages of the request can end, in ms */
+  shortestMs(request: CallerRequest): number {
+    const ends: number[] = [];
+    request.route.stages.forEach((stage, index) => {
+      const pieces = request.attributes.pieceCounts[index] ?? 0;
+      const start = Math.max(0, ...stage.dependsOn.map((source) => ends[source] ?? 0));
+      const definition = this.services.table()?.service(stage.service);
+      const ownMs = pieces > 0 ? (definition?.stage?.callMs ?? 0) : 0;
+      ends.push(start + ownMs);
+    });
+    return Math.max(0, ...ends);
+  }
+
+  private async runStage(
+    request: CallerRequest,
+    graph: StageGraph,
+    ready: ReadyStage,
+    signal: AbortSignal,
+  ): Promise<TaskOutcome> {
+    const { clock, stages, times } = this.services;
+    const { service, resultBytes } = ready.definition;
+    const laterMs = this.laterMs(graph, ready.stage);
+    const startedAt = clock.now();
+    const { pieceKey } = request.attributes;
+    const outcome = await stages.run(
+      service,
+      {
+        attemptId: request.attributes.attemptId ?? request.id,
+        stage: ready.stage,
+        pieces: ready.pieces,
+        ...(ready.inputs.length === 0 && pieceKey !== undefined && { key: pieceKey }),
+        inputs: ready.inputs,
+        resultBytes,
+        priority: request.priority,
+        dueAt: request.dueAt - laterMs,
+        expiresAt: request.deadlineAt - FIRST_EVENT_MS,
+      },
+      signal,
+    );
+    if (outcome.kind === 'done') times.note(service, clock.now() - startedAt);
+    return outcome;
+  }
+
+  /** @returns expected time from the end of the stage to the first event, in ms */
+  private laterMs(graph: StageGraph, stage: number): number {
+    const { times, table } = this.services;
+    const [, ...later] = graph.remainingServices(stage);
+    return later.reduce(
+      (sum, service) => sum + times.expected(table()?.service(service)),
+      FIRST_EVENT_MS,
+    );
+  }
+
+  private releaseConsumed(request: CallerRequest, graph: StageGraph, stage: number): void {
+    graph.consumedBy(stage).forEach((source) => {
+      const service = request.route.stages[source]?.service;
+      if (service !== undefined) this.services.stages.release(service, graph.handlesOf(source));
+    });
+  }
+
+  private releaseFinal(request: CallerRequest, graph: StageGraph): void {
+    const finals = new Set(graph.finalHandles());
+    request.route.stages.forEach((stage, index) => {
+      const handles = graph.handlesOf(index).filter((handle) => finals.has(handle));
+      this.services.stages.release(stage.service, handles);
+    });
+  }
+}
--- /dev/null
+++ b/src/serving/peers/PeerMessages.ts
@@ -0,0 +1,52 @@
+/** Messages between serving processes. */
+import { z } from 'zod';
+
+/** Sent by every process to all others several times a second, as one datagram. */
+export const Heartbeat = z.object({
+  id: z.string(),
+  /** Start of the process; a later one replaces an earlier one of the same id. */
+  incarnation: z.number(),
+  /** Address for calls and datagrams, `ip:port`. */
+  address: z.string(),
+  /** Share of batching that the process can carry, relative to others. */
+  weight: z.number().positive(),
+  /** True if the process stops; it gets no new work. */
+  isLeaving: z.boolean(),
+  configurationVersion: z.number(),
+  /** Time in which everything that waits could be started, by stage service, in ms. */
+  backlogs: z.record(z.string(), z.number()),
+  /** Own requests at each engine: running, and prompt tokens not read yet. */
+  engines: z.record(z.string(), z.tuple([z.number(), z.number()])),
+});
+export type Heartbeat = z.infer<typeof Heartbeat>;
+
+/** Row by which a process makes itself known to the others. */
+export const MemberRow = z.object({ id: z.string(), address: z.string() });
+export type MemberRow = z.infer<typeof MemberRow>;
+
+/** Asks a process to run all pieces of a stage of one request. */
+export const StageOrder = z.object({
+  service: z.string(),
+  attemptId: z.string(),
+  stage: z.number().int(),
+  pieces: z.number().int().min(1),
+  key: z.string().optional(),
+  inputs: z.array(z.string()),
+  resultBytes: z.number(),
+  priority: z.number(),
+  /** Time left for the stage to meet the objective of its request, in ms; negative if it can't. */
+  dueInMs: z.number(),
+  /** Time after which the results are of no use, in ms. */
+  expiresInMs: z.number(),
+});
+export type StageOrder = z.infer<typeof StageOrder>;
+
+export const ReleaseOrder = z.object({ handles: z.array(z.string()) });
+export type ReleaseOrder = z.infer<typeof ReleaseOrder>;
+
+/** The newest configuration that a process holds, as it stands in the store. */
+export interface ConfigurationCopy {
+  readonly version: number;
+  /** Row value in base64. */
+  readonly value: string;
+}
--- a/src/standin/Faults.test.ts
+++ b/src/standin/Faults.test.ts
@@ -1,9 +1,9 @@
 import assert from 'node:assert/strict';
 import { after, before, test } from 'node:test';
 import { setTimeout as sleep } from 'node:timers/promises';
-import { HttpMembershipList } from '../platform/HttpMembershipList.js';
-import { HttpObjectStore } from '../platform/HttpObjectStore.js';
-import { HttpTableStore } from '../platform/HttpTableStore.js';
+import { HttpMembershipList } from '../storage/HttpMembershipList.js';
+import { HttpObjectStore } from '../storage/HttpObjectStore.js';
+import { HttpTableStore } from '../storage/HttpTableStore.js';
 import { Faults } from './Faults.js';
 import { Standins } from './testing/Standins.js';
 
--- a/src/standin/table/RowHistory.ts
+++ b/src/standin/table/RowHistory.ts
@@ -1,5 +1,5 @@
 import { performance } from 'node:perf_hooks';
-import type { Row } from '../../platform/Types.js';
+import type { Row } from '../../storage/Types.js';
 
 /** Longest staleness that can be shown, in milliseconds. */
 const HISTORY_MS = 30_000;
--- a/src/standin/table/TableService.ts
+++ b/src/standin/table/TableService.ts
@@ -1,7 +1,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { z } from 'zod';
-import { MemoryTable } from '../../platform/MemoryTable.js';
-import type { Row } from '../../platform/Types.js';
+import { MemoryTable } from '../../storage/MemoryTable.js';
+import type { Row } from '../../storage/Types.js';
 import type { FaultState } from '../FaultState.js';
 import type { Call } from '../http/Call.js';
 import type { Answer, Counter, Route, Service } from '../Types.js';
--- a/src/platform/HttpCaller.ts
+++ b/src/storage/HttpCaller.ts
@@ -10,6 +10,7 @@
 /** The caller holds the content already (RFC 9110, `If-None-Match`). */
 export const STATUS_NOT_MODIFIED = 304;
 const STATUS_CONFLICT = 409;
+const DEFAULT_KNOWN_STATUSES: readonly number[] = [STATUS_NOT_MODIFIED, 404, STATUS_CONFLICT];
 const STATUS_SERVER_ERROR = 500;
 const STATUS_UNAVAILABLE = 503;
 
@@ -26,9 +27,11 @@
   readonly acceptsGzip?: boolean;
   /** True if the call changes state, so that a missing response leaves its outcome open. */
   readonly isWrite: boolean;
+  /** Statuses above 299 that are answers of this call and not failures. */
+  readonly knownStatuses?: readonly number[];
 }
 
-/** Response of a platform service with a status below 300, or one of 304, 404 and 409. */
+/** Response of a platform service with a status below 300, or one that the call knows. */
 export interface HttpAnswer {
   readonly status: number;
   readonly text: string;
@@ -147,8 +150,8 @@
 
 function resultOf(call: HttpCall, answer: HttpAnswer): PlatformResult<HttpAnswer> {
   const { status } = answer;
-  const isKnown = status === STATUS_NOT_MODIFIED || status === 404 || status === STATUS_CONFLICT;
-  if (status < 300 || isKnown) {
+  const known = call.knownStatuses ?? DEFAULT_KNOWN_STATUSES;
+  if (status < 300 || known.includes(status)) {
     return { ok: true, value: answer };
   }
   const message = `status ${status}: ${answer.text.slice(0, 200)}`;
--- a/src/telemetry/Logger.ts
+++ b/src/telemetry/Logger.ts
@@ -14,12 +14,17 @@
 export type Logger = ConsolaInstance;
 
 /**
- * Makes a logger that writes one JSON object a line to standard error.
+ * Makes a logger that writes one JSON object a line.
  * @param processName - value of the field `process`
  * @param level - lowest level written
+ * @param writeLine - takes each line; standard error if left out
  * @returns a consola instance; call it with a message and an object of fields
  */
-export function createLogger(processName: string, level: LogLevel = 'info'): Logger {
+export function createLogger(
+  processName: string,
+  level: LogLevel = 'info',
+  writeLine: (line: string) => void = writeToStandardError,
+): Logger {
   return createConsola({
     level: LEVELS[level],
     reporters: [
@@ -34,13 +39,17 @@
             message,
             ...fields,
           };
-          process.stderr.write(`${JSON.stringify(line, redact)}\n`);
+          writeLine(JSON.stringify(line, redact));
         },
       },
     ],
   });
 }
 
+function writeToStandardError(line: string): void {
+  process.stderr.write(`${line}\n`);
+}
+
 function isFields(part: unknown): part is Record<string, unknown> {
   return typeof part === 'object' && part !== null && !(part instanceof Error);
 }
