Pace stage calls evenly and lighten the path of a stage order

Servers started calls together, so pieces that came just after waited for a whole call; the check of due times kept calls unfilled; and tRPC, AbortSignal.any and web streams cost a third of the processor time, which on half a core is waiting time.

--- a/src/common/serving/StageGraph.ts
+++ b/src/common/serving/StageGraph.ts
@@ -7,6 +7,8 @@
   readonly pieces: number;
   /** Handles of the results to read; empty for a stage that starts from the request's key. */
   readonly inputs: readonly string[];
+  /** Size of all of them together, in bytes. */
+  readonly inputBytes: number;
 }
 
 /** Order of the stages of one request: which may start, and whose results are still needed. */
@@ -32,7 +34,11 @@
       if (!isReady) return [];
       this.started.add(stage);
       const inputs = definition.dependsOn.flatMap((from) => this.handles.get(from) ?? []);
-      return [{ stage, definition, pieces, inputs }];
+      const inputBytes = definition.dependsOn.reduce(
+        (sum, from) => sum + this.piecesOf(from) * (this.stages[from]?.resultBytes ?? 0),
+        0,
+      );
+      return [{ stage, definition, pieces, inputs, inputBytes }];
     });
   }
 
--- a/src/common/serving/StageQueue.ts
+++ b/src/common/serving/StageQueue.ts
@@ -1,4 +1,7 @@
 import type { Clock } from '../time/Types.js';
+import { bestDraft } from './CallDraft.js';
+import { CallPace } from './CallPace.js';
+import { PieceTimes } from './PieceTimes.js';
 import { StageServer } from './StageServer.js';
 import type { BackendServer, StageCapacity } from './ServingConfiguration.js';
 
@@ -11,6 +14,12 @@
   readonly key?: string;
   readonly inputs: readonly string[];
   readonly resultBytes: number;
+  /** Size of all inputs, in bytes; every piece reads them. */
+  readonly inputBytes: number;
+  /** Names the kind of work, whose pieces take about the same time. */
+  readonly work: string;
+  /** Where most bytes of the inputs lie, if moving them between failure domains is costly. */
+  readonly inputDomain?: string;
   /** 0 is the most urgent. */
   readonly priority: number;
   /** Time by which the stage has to end for the request to meet its objective, on the clock. */
@@ -43,8 +52,10 @@
 /** End of a call. */
 export type CallOutcome =
   | { readonly kind: 'answered'; readonly pieces: readonly PieceOutcome[] }
-  /** Not executed: refused by a full server, or never sent. */
+  /** Refused by a full server. */
   | { readonly kind: 'not-executed' }
+  /** No byte was sent. */
+  | { readonly kind: 'unsent' }
   /** The call may have run. */
   | { readonly kind: 'broken' };
 
@@ -59,12 +70,15 @@
   readonly outcome: TaskOutcome;
 }
 
-interface WaitingTask {
+/** A task whose pieces are not all made. */
+export interface WaitingTask {
   readonly taskId: number;
   readonly task: StageTask;
   /** Pieces that are neither made nor part of a call in progress. */
   readonly waiting: Set<number>;
   readonly handles: Map<number, string>;
+  /** On the clock. */
+  readonly addedAt: number;
   failures: number;
 }
 
@@ -95,6 +109,10 @@
 
   private orphans: string[] = [];
 
+  private readonly pieceTimes: PieceTimes;
+
+  private readonly pace = new CallPace();
+
   /**
    * @param clock - time source
    * @param capacity - how servers of this service work
@@ -104,7 +122,9 @@
     private readonly clock: Clock,
     private capacity: StageCapacity,
     private readonly mayRepeat: RepeatPermission,
-  ) {}
+  ) {
+    this.pieceTimes = new PieceTimes(() => this.capacity);
+  }
 
   /** Follows a new configuration. */
   updateCapacity(capacity: StageCapacity): void {
@@ -131,7 +151,8 @@
     const taskId = this.nextTaskId;
     this.nextTaskId += 1;
     const waiting = new Set(Array.from({ length: task.pieces }, (_, piece) => piece));
-    this.tasks.set(taskId, { taskId, task, waiting, handles: new Map(), failures: 0 });
+    const addedAt = this.clock.now();
+    this.tasks.set(taskId, { taskId, task, waiting, handles: new Map(), addedAt, failures: 0 });
     return taskId;
   }
 
@@ -165,7 +186,7 @@
   /** @returns tasks that can no longer end in time; they are forgotten */
   takeExpired(): TaskEnd[] {
     const now = this.clock.now();
-    const shortestMs = this.callMs(1);
+    const shortestMs = this.capacity.callMs;
     return [...this.tasks.values()]
       .filter(({ task, waiting }) => waiting.size > 0 && now + shortestMs > task.expiresAt)
       .map(({ taskId }) => this.end(taskId, { kind: 'expired' }));
@@ -174,15 +195,32 @@
   /** @returns calls to make now; their servers count as busy until {@link finishCall} */
   plan(): PlannedCall[] {
     const now = this.clock.now();
-    const free = [...this.servers.values()].filter((state) =>
-      state.isFree(now, this.capacity.concurrentCalls),
-    );
-    if (free.length === 0 || this.tasks.size === 0) return [];
-    const drafts = new Map(free.map((state) => [state, [] as PieceReference[]]));
-    this.inOrder(now).forEach((entry) => this.assign(entry, drafts, now));
-    return [...drafts].flatMap(([state, pieces]) =>
-      pieces.length > 0 ? [this.startCall(state, pieces, now)] : [],
-    );
+    const healthy = [...this.servers.values()].filter((state) => state.isHealthy(now));
+    const planned: PlannedCall[] = [];
+    for (;;) {
+      const call = this.planOne(healthy, now);
+      if (!call) return planned;
+      planned.push(call);
+    }
+  }
+
+  /** @returns time at which {@link plan} may start more calls without any event, on the clock */
+  get nextPlanAt(): number | undefined {
+    return this.waitingPieces > 0 ? this.pace.nextStartAt : undefined;
+  }
+
+  private planOne(healthy: readonly StageServer[], now: number): PlannedCall | undefined {
+    const { concurrentCalls } = this.capacity;
+    const free = healthy.filter((state) => state.isFree(now, concurrentCalls));
+    if (free.length === 0 || this.tasks.size === 0) return undefined;
+    const entries = this.inOrder(now);
+    const waiting = entries.reduce((sum, entry) => sum + entry.waiting.size, 0);
+    const isFull = waiting >= this.capacity.batchSize;
+    const load = { now, servers: healthy.length, free: free.length };
+    const mayStart = isFull || this.pace.mayStart(load);
+    const drafting = { now, capacity: this.capacity, pieceTimes: this.pieceTimes, healthy };
+    const draft = mayStart ? bestDraft(free, entries, drafting) : undefined;
+    return draft && this.startCall(draft.state, [...draft.pieces], now);
   }
 
   /**
@@ -194,8 +232,10 @@
     if (!call) return [];
     this.calls.delete(callId);
     const state = this.servers.get(call.server.id);
-    state?.finish(callId, outcome, this.clock.now());
+    const durationMs = state?.finish(callId, outcome, this.clock.now());
+    if (outcome.kind === 'unsent') return this.putBack(call.pieces);
     if (outcome.kind !== 'answered') return this.repeat(call.pieces);
+    if (durationMs !== undefined) this.pieceTimes.note(call.pieces, durationMs);
     return call.pieces.flatMap((reference, index) =>
       this.settle(reference, outcome.pieces[index] ?? { kind: 'failed' }, state),
     );
@@ -219,7 +259,7 @@
 
   private inOrder(now: number): WaitingTask[] {
     const isOnTime = ({ task, waiting }: WaitingTask) =>
-      now + this.callMs(waiting.size) <= task.dueAt;
+      now + this.capacity.callMs + this.pieceTimes.of(task.work) * waiting.size <= task.dueAt;
     return [...this.tasks.values()]
       .filter(({ waiting }) => waiting.size > 0)
       .map((entry) => ({ entry, onTime: isOnTime(entry) }))
@@ -232,62 +272,14 @@
       .map(({ entry }) => entry);
   }
 
-  /** Pieces of one task stay together where they fit, so that they end together in one place. */
-  private assign(
-    entry: WaitingTask,
-    drafts: Map<StageServer, PieceReference[]>,
-    now: number,
-  ): void {
-    const { taskId, task, waiting } = entry;
-    const pieces = [...waiting].map((piece) => ({ taskId, task, piece }));
-    const { batchSize } = this.capacity;
-    const spaces = [...drafts].map(([state, draft]) => ({
-      state,
-      draft,
-      space: Math.min(batchSize - draft.length, this.roomFor(state, draft, task, now)),
-    }));
-    const fitting = spaces
-      .filter(({ state, draft, space }) => {
-        const endsAt = now + state.slowness * this.callMs(draft.length + pieces.length);
-        const isLate = now + this.callMs(pieces.length) > task.dueAt;
-        return space >= pieces.length && (endsAt <= task.dueAt || isLate);
-      })
-      .sort((left, right) => left.draft.length - right.draft.length);
-    const [best] = fitting;
-    if (best) {
-      best.draft.push(...pieces);
-      return;
-    }
-    if (pieces.length <= batchSize && !this.isRoomTooSmall(task)) return;
-    spaces
-      .filter(({ space }) => space > 0)
-      .forEach(({ draft, space }) => draft.push(...pieces.splice(0, space)));
-  }
-
-  /** True if the task's results exceed the memory of one server, so that it has to be split. */
-  private isRoomTooSmall(task: StageTask): boolean {
-    return task.pieces * task.resultBytes > this.capacity.resultRoomBytes;
-  }
-
-  private roomFor(
-    state: StageServer,
-    draft: readonly PieceReference[],
-    task: StageTask,
-    now: number,
-  ): number {
-    if (task.resultBytes === 0) return Infinity;
-    const planned = draft.reduce((sum, reference) => sum + reference.task.resultBytes, 0);
-    const free = this.capacity.resultRoomBytes - state.usedBytes(now) - planned;
-    return Math.floor(free / task.resultBytes);
-  }
-
   private startCall(state: StageServer, pieces: PieceReference[], now: number): PlannedCall {
     const callId = this.nextCallId;
     this.nextCallId += 1;
     pieces.forEach(({ taskId, piece }) => this.tasks.get(taskId)?.waiting.delete(piece));
-    const expectedMs = this.callMs(pieces.length);
+    const expectedMs = this.pieceTimes.callMs(pieces);
     const bytes = pieces.reduce((sum, { task }) => sum + task.resultBytes, 0);
     state.start(callId, { startedAt: now, expectedMs, bytes });
+    this.pace.noteStart(now, expectedMs);
     const call = { callId, server: state.server, pieces, expectedMs };
     this.calls.set(callId, call);
     return call;
@@ -317,6 +309,12 @@
     return [this.end(taskId, { kind: 'done', handles })];
   }
 
+  /** Puts pieces back that no server received. */
+  private putBack(references: readonly PieceReference[]): TaskEnd[] {
+    references.forEach(({ taskId, piece }) => this.tasks.get(taskId)?.waiting.add(piece));
+    return [];
+  }
+
   /** Puts pieces back to be sent once more, or ends their tasks. */
   private repeat(references: readonly PieceReference[]): TaskEnd[] {
     return references.flatMap(({ taskId, task, piece }) => {
--- a/src/common/serving/StageServer.ts
+++ b/src/common/serving/StageServer.ts
@@ -73,14 +73,25 @@
     this.calls.set(callId, call);
   }
 
-  /** Notes the end of a call and judges the server by it. */
-  finish(callId: number, outcome: CallOutcome, now: number): void {
+  /** @returns expected end of its calls in progress, on the clock */
+  freeAt(now: number): number {
+    const ends = [...this.calls.values()].map(
+      ({ startedAt, expectedMs }) => startedAt + expectedMs * this.slownessEstimate,
+    );
+    return Math.max(now, ...ends);
+  }
+
+  /**
+   * Notes the end of a call and judges the server by it.
+   * @returns duration of a call that was answered, in ms
+   */
+  finish(callId: number, outcome: CallOutcome, now: number): number | undefined {
     const call = this.calls.get(callId);
     this.calls.delete(callId);
-    if (!call) return;
+    if (!call) return undefined;
     if (outcome.kind !== 'answered') {
       this.pause(now);
-      return;
+      return undefined;
     }
     this.failures = 0;
     const ratio = Math.max(1, (now - call.startedAt) / call.expectedMs);
@@ -88,6 +99,7 @@
     this.slownessAt = now;
     const isFull = outcome.pieces.some(({ kind }) => kind === 'no-room');
     if (isFull) this.pausedUntil = now + NO_ROOM_PAUSE_MS;
+    return now - call.startedAt;
   }
 
   hold(handle: string, result: HeldResult): void {
--- a/src/serving/BufferedCall.ts
+++ b/src/serving/BufferedCall.ts
@@ -1,5 +1,8 @@
 import type { Exchange, ExchangeFailure, ExchangeRequest, ServerLinks } from './ServerLinks.js';
 
+import type { Cancellation } from '../common/events/Cancellation.js';
+import type { Disposable } from '../common/events/Types.js';
+
 /** A whole response, or why there is none. */
 export type BufferedResponse =
   | {
@@ -18,14 +21,14 @@
   /** Time for the whole exchange, in ms. */
   readonly timeoutMs: number;
   /** Ends the exchange early. */
-  readonly signal?: AbortSignal;
+  readonly cancellation?: Cancellation;
 }
 
 /**
  * Sends a request and holds its whole response.
  * @param links - connections of the server
  * @param request - what to send
- * @param limits - time-out and signal
+ * @param limits - time-out and cancellation
  * @returns response or failure; it never rejects
  */
 export function bufferedCall(
@@ -39,9 +42,10 @@
     let size = 0;
     let exchange: Exchange | undefined;
     let timer: NodeJS.Timeout | undefined;
+    let subscription: Disposable | undefined;
     const settle = (response: BufferedResponse) => {
       clearTimeout(timer);
-      limits.signal?.removeEventListener('abort', onAbort);
+      subscription?.dispose();
       resolve(response);
     };
     const fail = (kind: ExchangeFailure['kind'], message: string) =>
@@ -50,7 +54,6 @@
       exchange?.abort();
       fail('broken', message);
     };
-    const onAbort = () => cut('cancelled');
     exchange = links.send(request, {
       onHead: (status, headers) => Object.assign(head, { status, headers }),
       onData: (chunk) => {
@@ -66,7 +69,6 @@
       return;
     }
     timer = setTimeout(() => cut(`no whole response in ${limits.timeoutMs} ms`), limits.timeoutMs);
-    limits.signal?.addEventListener('abort', onAbort, { once: true });
-    if (limits.signal?.aborted) onAbort();
+    subscription = limits.cancellation?.onCancelled(() => cut('cancelled'));
   });
 }
--- a/src/serving/CallerRequest.ts
+++ b/src/serving/CallerRequest.ts
@@ -1,3 +1,4 @@
+import type { Cancellation } from '../common/events/Cancellation.js';
 import type { ClientAccount, Route } from '../common/serving/ServingConfiguration.js';
 import type { CallerResponse } from './CallerResponse.js';
 import type { RequestTrace } from './RequestTrace.js';
@@ -25,8 +26,8 @@
   readonly dueAt: number;
   /** 0 is the most urgent. */
   readonly priority: number;
-  /** Aborted when the caller leaves or the time is over. */
-  readonly signal: AbortSignal;
+  /** Cancelled when the caller leaves or the time is over. */
+  readonly cancellation: Cancellation;
   readonly trace: RequestTrace;
 }
 
--- a/src/serving/Ingress.ts
+++ b/src/serving/Ingress.ts
@@ -1,4 +1,5 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import { Cancellation } from '../common/events/Cancellation.js';
 import type { RouteTable } from '../common/serving/RouteTable.js';
 import type { RequestLimits, Route } from '../common/serving/ServingConfiguration.js';
 import type { Clock } from '../common/time/Types.js';
@@ -108,20 +109,20 @@
       return;
     }
     const deadlineAt = receivedAt + Math.min(route.timeoutMs, attributes.deadlineMs ?? Infinity);
-    const abort = new AbortController();
-    const trace = new RequestTrace();
+    const cancellation = new Cancellation();
+    const trace = new RequestTrace(receivedAt);
     const timer = setTimeout(() => {
-      abort.abort();
+      cancellation.cancel();
       this.timeOut(answer, trace.mayHaveRun, attributes.attemptId, route);
     }, deadlineAt - clock.now());
     response.once('close', () => {
       clearTimeout(timer);
-      abort.abort();
+      cancellation.cancel();
       metrics.requestEnded(route.name, response.statusCode, clock.now() - receivedAt);
-      this.logEnd(message, response, route, attributes.attemptId, clock.now() - receivedAt);
+      this.logEnd(response, route, attributes.attemptId, clock.now() - receivedAt, trace);
     });
     const body = await this.readBody(message, answer, routes.configuration.limits.bodyBytes);
-    if (!body || abort.signal.aborted) return;
+    if (!body || cancellation.isCancelled) return;
     const id = `${this.nextId}`;
     this.nextId += 1;
     await this.services.serve({
@@ -139,7 +140,7 @@
       deadlineAt,
       dueAt: receivedAt + route.objectiveMs - CALLER_LINK_MS,
       priority: account?.priority ?? route.priority,
-      signal: abort.signal,
+      cancellation,
       trace,
     });
   }
@@ -203,11 +204,11 @@
   }
 
   private logEnd(
-    message: IncomingMessage,
     response: ServerResponse,
     route: Route,
     attemptId: string | undefined,
     durationMs: number,
+    trace: RequestTrace,
   ): void {
     const isWhole = response.writableFinished;
     this.services.logger.info('request ended', {
@@ -216,6 +217,7 @@
       status: response.headersSent ? response.statusCode : undefined,
       isWhole,
       durationMs: Math.round(durationMs),
+      timeline: trace.timeline,
     });
   }
 }
--- a/src/serving/PlainForwarder.ts
+++ b/src/serving/PlainForwarder.ts
@@ -31,7 +31,7 @@
 ): Promise<ForwardOutcome> {
   const { connections, protocol } = services;
   // An unsafe call goes on when its caller leaves: it can't be undone.
-  const signal = request.route.kind === 'unsafe' ? undefined : request.signal;
+  const cancellation = request.route.kind === 'unsafe' ? undefined : request.cancellation;
   const response = await bufferedCall(
     connections.to(server),
     {
@@ -41,11 +41,11 @@
       ...(request.body.length > 0 && { body: request.body }),
       needsFreshConnection: !isRepeatable(request),
     },
-    { timeoutMs, ...(signal && { signal }) },
+    { timeoutMs, ...(cancellation && { cancellation }) },
   );
   if (response.kind === 'failed') {
     const { kind, message } = response.failure;
-    if (signal?.aborted) return { kind: 'cancelled' };
+    if (cancellation?.isCancelled) return { kind: 'cancelled' };
     return { kind, cause: message };
   }
   const { status, headers, body } = response;
--- a/src/serving/RequestRunner.ts
+++ b/src/serving/RequestRunner.ts
@@ -113,7 +113,7 @@
       return { kind: 'done', results: [], release: () => undefined };
     }
     const results = await this.services.stages.run(request);
-    if (request.signal.aborted) {
+    if (request.cancellation.isCancelled) {
       if (results.kind === 'done') results.release();
       return undefined;
     }
@@ -140,6 +140,7 @@
         return;
       }
       progress.noteSend(server.id);
+      request.trace.note(`to:${server.id}`, this.services.clock.now());
       request.trace.mark(true);
       const outcome = await this.forward(request, server, progress, results, release);
       const hasNotRun = outcome.kind === 'unsent' || outcome.kind === 'not-executed';
@@ -202,8 +203,11 @@
     if (promptParts.length > 0) placement.noteParts(server.id, promptParts);
     const startedAt = clock.now();
     records.begin(server.id, tokens);
+    let isPrefilled = false;
     const markPrefilled = once(() => records.markPrefilled(server.id, tokens));
     const order = this.orderFor(request, server, progress, results, () => {
+      if (!isPrefilled) request.trace.note('first-event', clock.now());
+      isPrefilled = true;
       markPrefilled();
       release();
     });
--- a/src/serving/ServingProcess.ts
+++ b/src/serving/ServingProcess.ts
@@ -17,9 +17,9 @@
 import { StageBatcher } from './StageBatcher.js';
 import { StageClient, taskOfOrder } from './StageClient.js';
 import { StageRunner } from './StageRunner.js';
-import { StageTimes } from './StageTimes.js';
 import { TableFollower } from './TableFollower.js';
 import type { RowDecoder, ServingProtocol } from './Types.js';
+import { ChannelServer } from './peers/ChannelServer.js';
 import { MemberRow, type Heartbeat } from './peers/PeerMessages.js';
 import { PeerClients } from './peers/PeerClients.js';
 import { createPeerRouter } from './peers/PeerRouter.js';
@@ -78,7 +78,9 @@
 
   private readonly view: PeerView;
 
-  private readonly clients = new PeerClients();
+  private readonly clients: PeerClients;
+
+  private readonly channels: ChannelServer;
 
   private readonly records: ServerRecords;
 
@@ -99,6 +101,7 @@
   constructor(private readonly parts: ServingParts) {
     const { clock, logger, settings, protocol, metrics } = parts;
     this.incarnation = clock.wallTime();
+    this.clients = new PeerClients(logger);
     this.directory = new ServerDirectory(clock);
     this.configuration = new ConfigurationView(parts.decoder, logger);
     this.view = new PeerView(clock, () => this.heartbeat());
@@ -126,7 +129,7 @@
       view: this.view,
     });
     const servingMetrics = new ServingMetrics(metrics);
-    const stages = new StageRunner({ clock, stages: stageClient, times: new StageTimes(), table });
+    const stages = new StageRunner({ clock, stages: stageClient, table });
     const placement = new EnginePlacement(clock, this.records);
     const runner = new RequestRunner({
       ...shared,
@@ -165,13 +168,18 @@
     this.readiness = createServer((_request, response) => {
       response.writeHead(this.isReady ? 200 : 503).end();
     });
+    this.channels = new ChannelServer(
+      {
+        runStage: (order, cancellation) =>
+          this.batcher.run(order.service, taskOfOrder(order, clock.now()), cancellation),
+        release: (handles) => this.batcher.releaseResults(handles),
+      },
+      logger,
+    );
     this.peerServer = new PeerServer({
       ip: settings.ip,
       port: settings.internalPorts[0],
       router: createPeerRouter({
-        runStage: (order, signal) =>
-          this.batcher.run(order.service, taskOfOrder(order, clock.now()), signal),
-        release: (handles) => this.batcher.releaseResults(handles),
         configuration: () => this.configuration.copy,
       }),
       metrics,
@@ -191,6 +199,7 @@
   async start(): Promise<void> {
     const { settings, names, logger } = this.parts;
     await this.peerServer.start();
+    await this.channels.listen(settings.ip, settings.internalPorts[0] + 1);
     const readiness = endpointOf(settings.listen.readiness);
     await new Promise<void>((resolve, reject) => {
       this.readiness.once('error', reject);
@@ -341,6 +350,7 @@
       id: settings.id,
       incarnation: this.incarnation,
       address: this.peerAddress,
+      channel: `${settings.ip}:${settings.internalPorts[0] + 1}`,
       weight: settings.cores,
       isLeaving: this.isStopping,
       configurationVersion: this.configuration.version,
--- a/src/serving/StageBatcher.ts
+++ b/src/serving/StageBatcher.ts
@@ -1,4 +1,5 @@
 import { dispatch, spawn, start, stop, type Ref } from 'nact';
+import type { Cancellation } from '../common/events/Cancellation.js';
 import type { Clock } from '../common/time/Types.js';
 import type { ServerDirectory } from '../common/serving/ServerDirectory.js';
 import {
@@ -23,6 +24,9 @@
 const RELEASE_DELAY_MS = 12;
 const RELEASE_TIMEOUT_MS = 1000;
 
+/** Bytes read by all pieces of a task from which on moving them between failure domains counts. */
+const MIN_COSTLY_BYTES = 500_000;
+
 /** Interval of checks for expired tasks and paused servers, in ms. */
 const TICK_MS = 20;
 
@@ -46,6 +50,7 @@
       readonly server: BackendServer;
       readonly handles: readonly string[];
     }
+  | { readonly type: 'advance'; readonly service: string }
   | { readonly type: 'tick' }
   | { readonly type: 'refresh' };
 
@@ -84,6 +89,8 @@
 
   private readonly ticker: NodeJS.Timeout;
 
+  private readonly wakeUps = new Map<string, NodeJS.Timeout>();
+
   private readonly handlers: Handlers = {
     submit: ({ service, task, onEnd }) => this.submit(service, task, onEnd),
     cancel: ({ service, task }) => this.cancel(service, task),
@@ -97,6 +104,7 @@
       this.queues.get(server.service)?.release(server.id, handles);
       this.advance(server.service);
     },
+    advance: ({ service }) => this.advance(service),
     tick: () => this.queues.forEach((queue, service) => !queue.isEmpty && this.advance(service)),
     refresh: () => this.refresh(),
   };
@@ -122,22 +130,21 @@
   /**
    * Runs all pieces of a stage of one request.
    * @param service - stage service
-   * @param task - pieces; `signal` cancels them
+   * @param task - pieces
+   * @param cancellation - cancels them
    * @returns handles of the results, or why there are none
    */
-  run(service: string, task: StageTask, signal: AbortSignal): Promise<TaskOutcome> {
+  run(service: string, task: StageTask, cancellation: Cancellation): Promise<TaskOutcome> {
     return new Promise((resolve) => {
-      const onAbort = () => {
-        this.send({ type: 'cancel', service, task });
-        resolve({ kind: 'failed' });
-      };
-      signal.addEventListener('abort', onAbort, { once: true });
       const onEnd = (outcome: TaskOutcome) => {
-        signal.removeEventListener('abort', onAbort);
+        subscription.dispose();
         resolve(outcome);
       };
-      this.send({ type: 'submit', service, task, onEnd });
-      if (signal.aborted) onAbort();
+      const subscription = cancellation.onCancelled(() => {
+        this.send({ type: 'cancel', service, task });
+        resolve({ kind: 'failed' });
+      });
+      if (!cancellation.isCancelled) this.send({ type: 'submit', service, task, onEnd });
     });
   }
 
@@ -176,7 +183,8 @@
       onEnd({ kind: 'failed' });
       return;
     }
-    const taskId = queue.add(task);
+    const inputDomain = this.inputDomainOf(task);
+    const taskId = queue.add({ ...task, ...(inputDomain !== undefined && { inputDomain }) });
     this.taskIds.set(task, taskId);
     this.listeners.set(listenerKey(service, taskId), (outcome) => {
       this.taskIds.delete(task);
@@ -185,6 +193,19 @@
     this.advance(service);
   }
 
+  /** Every piece reads all inputs, so that reading them from far is paid once a piece. */
+  private inputDomainOf({ inputs, pieces, inputBytes }: StageTask): string | undefined {
+    if (pieces * inputBytes < MIN_COSTLY_BYTES) return undefined;
+    const { directory, protocol } = this.services;
+    const counts = new Map<string, number>();
+    inputs.forEach((handle) => {
+      const domain = directory.atAddress(protocol.addressOfResult(handle))?.failureDomain;
+      if (domain !== undefined) counts.set(domain, (counts.get(domain) ?? 0) + 1);
+    });
+    const [most] = [...counts].sort(([, left], [, right]) => right - left);
+    return most?.[0];
+  }
+
   private cancel(service: string, task: StageTask): void {
     const taskId = this.taskIds.get(task);
     if (taskId === undefined) return;
@@ -225,6 +246,17 @@
         this.services.logger.error('stage call failed', { service, error }),
       );
     });
+    this.scheduleWakeUp(service, queue.nextPlanAt);
+  }
+
+  /** Plans again when the next call may start; the ticker alone would be too coarse. */
+  private scheduleWakeUp(service: string, at: number | undefined): void {
+    clearTimeout(this.wakeUps.get(service));
+    if (at === undefined) return;
+    const delayMs = at - this.services.clock.now();
+    if (delayMs <= 0) return;
+    const timer = setTimeout(() => this.send({ type: 'advance', service }), delayMs);
+    this.wakeUps.set(service, timer);
   }
 
   private report(service: string, ends: readonly TaskEnd[]): void {
@@ -239,22 +271,24 @@
   private async makeCall(service: string, call: PlannedCall): Promise<void> {
     const { protocol, connections, clock, logger } = this.services;
     const { server, pieces, callId, expectedMs } = call;
-    const request = protocol.stageCall(server.id, pieces, clock.now());
+    const startedAt = clock.now();
+    const request = protocol.stageCall(server.id, pieces, startedAt);
     const response = await bufferedCall(
       connections.to(server),
       { ...request, needsFreshConnection: false },
       { timeoutMs: expectedMs * CALL_TIMEOUT_FACTOR },
     );
     const outcome = this.outcomeOf(response, pieces.length);
-    if (outcome.kind !== 'answered') {
-      logger.warn('stage call not answered', {
-        service,
-        server: server.id,
-        pieces: pieces.length,
-        outcome: outcome.kind,
-        cause: response.kind === 'failed' ? response.failure.message : response.status,
-      });
-    }
+    logger[outcome.kind === 'answered' ? 'info' : 'warn']('stage call ended', {
+      service,
+      server: server.id,
+      pieces: pieces.length,
+      outcome: outcome.kind,
+      cause: response.kind === 'failed' ? response.failure.message : response.status,
+      expectedMs: Math.round(expectedMs),
+      durationMs: Math.round(clock.now() - startedAt),
+      waiting: this.queues.get(service)?.waitingPieces,
+    });
     this.send({ type: 'call-ended', service, callId, outcome });
   }
 
@@ -264,7 +298,7 @@
   ): CallOutcome {
     const { protocol } = this.services;
     if (response.kind === 'failed') {
-      return { kind: response.failure.kind === 'unsent' ? 'not-executed' : 'broken' };
+      return { kind: response.failure.kind };
     }
     if (response.status === 200) {
       const outcomes = protocol.readStageOutcomes(response.body.toString('utf8'));
--- a/src/serving/StageClient.ts
+++ b/src/serving/StageClient.ts
@@ -1,3 +1,4 @@
+import type { Cancellation } from '../common/events/Cancellation.js';
 import type { Clock } from '../common/time/Types.js';
 import type { StageTask, TaskOutcome } from '../common/serving/StageQueue.js';
 import type { Logger } from '../telemetry/Logger.js';
@@ -14,7 +15,6 @@
 
 /** Time after which results are given to a peer for release, in ms, so that one call names many. */
 const RELEASE_DELAY_MS = 10;
-const RELEASE_TIMEOUT_MS = 1000;
 
 /** What {@link StageClient} needs of its surroundings. */
 export interface StageClientServices {
@@ -36,20 +36,20 @@
    * Runs all pieces of a stage.
    * @param service - stage service
    * @param task - pieces, with times on the own clock
-   * @param signal - cancels them
+   * @param cancellation - cancels them
    */
-  async run(service: string, task: StageTask, signal: AbortSignal): Promise<TaskOutcome> {
+  async run(service: string, task: StageTask, cancellation: Cancellation): Promise<TaskOutcome> {
     const { view, ownId, logger } = this.services;
     for (let tries = 0; tries < MAX_PEERS; tries += 1) {
       const peer = view.batcherOf(service);
       if (peer.id === ownId) break;
-      const outcome = await this.runAt(peer, service, task, signal);
+      const outcome = await this.runAt(peer, service, task, cancellation);
       if (outcome) return outcome;
-      if (signal.aborted) return { kind: 'failed' };
+      if (cancellation.isCancelled) return { kind: 'failed' };
       logger.warn('batching process lost', { service, peer: peer.id, request: task.attemptId });
       view.avoid(peer.id);
     }
-    return this.services.batcher.run(service, task, signal);
+    return this.services.batcher.run(service, task, cancellation);
   }
 
   /** Frees results of a service's stages that nobody will read. */
@@ -69,23 +69,16 @@
     peer: Heartbeat,
     service: string,
     task: StageTask,
-    signal: AbortSignal,
+    cancellation: Cancellation,
   ): Promise<TaskOutcome | undefined> {
-    const abort = new AbortController();
-    const onAbort = () => abort.abort();
-    signal.addEventListener('abort', onAbort, { once: true });
+    const { clients, view } = this.services;
     const check = setInterval(() => {
-      if (!this.services.view.isLive(peer.id)) abort.abort();
+      if (!view.isLive(peer.id)) clients.dropChannel(peer);
     }, LIVENESS_CHECK_MS);
     try {
-      const client = this.services.clients.to(peer.address);
-      return await client.runStage.mutate(this.orderOf(service, task), { signal: abort.signal });
-    } catch (error) {
-      if (!signal.aborted) this.services.logger.debug('peer call failed', { peer: peer.id, error });
-      return undefined;
+      return await clients.channelTo(peer).run(this.orderOf(service, task), cancellation);
     } finally {
       clearInterval(check);
-      signal.removeEventListener('abort', onAbort);
     }
   }
 
@@ -99,6 +92,8 @@
       ...(task.key !== undefined && { key: task.key }),
       inputs: [...task.inputs],
       resultBytes: task.resultBytes,
+      inputBytes: task.inputBytes,
+      work: task.work,
       priority: task.priority,
       dueInMs: task.dueAt - now,
       expiresInMs: task.expiresAt - now,
@@ -108,19 +103,13 @@
   private sendReleases(service: string): void {
     const handles = this.releases.get(service) ?? [];
     this.releases.delete(service);
-    const { view, ownId, batcher, clients, logger } = this.services;
+    const { view, ownId, batcher, clients } = this.services;
     const peer = view.batcherOf(service);
     if (peer.id === ownId) {
       batcher.releaseResults(handles);
       return;
     }
-    clients
-      .to(peer.address)
-      .release.mutate({ handles }, { signal: AbortSignal.timeout(RELEASE_TIMEOUT_MS) })
-      .catch((error: unknown) => {
-        logger.warn('release at peer failed', { peer: peer.id, error });
-        batcher.releaseResults(handles);
-      });
+    clients.channelTo(peer).release(handles);
   }
 }
 
@@ -137,6 +126,8 @@
     ...(order.key !== undefined && { key: order.key }),
     inputs: order.inputs,
     resultBytes: order.resultBytes,
+    inputBytes: order.inputBytes,
+    work: order.work,
     priority: order.priority,
     dueAt: now + order.dueInMs,
     expiresAt: now + order.expiresInMs,
--- a/src/serving/StageRunner.ts
+++ b/src/serving/StageRunner.ts
@@ -1,10 +1,10 @@
+import { Cancellation } from '../common/events/Cancellation.js';
 import type { Clock } from '../common/time/Types.js';
 import type { RouteTable } from '../common/serving/RouteTable.js';
 import { StageGraph, type ReadyStage } from '../common/serving/StageGraph.js';
 import type { TaskOutcome } from '../common/serving/StageQueue.js';
 import type { CallerRequest } from './CallerRequest.js';
 import type { StageClient } from './StageClient.js';
-import type { StageTimes } from './StageTimes.js';
 
 /** Time from the last stage to the first event at an engine without a queue, in ms. */
 export const FIRST_EVENT_MS = 60;
@@ -28,7 +28,6 @@
 export interface StageRunnerServices {
   readonly clock: Clock;
   readonly stages: StageClient;
-  readonly times: StageTimes;
   readonly table: () => RouteTable | undefined;
 }
 
@@ -40,17 +39,16 @@
   async run(request: CallerRequest): Promise<StageResults> {
     const { route, attributes } = request;
     const graph = new StageGraph(route.stages, attributes.pieceCounts);
-    const abort = new AbortController();
-    const signal = AbortSignal.any([request.signal, abort.signal]);
+    const cancellation = new Cancellation(request.cancellation);
     let failure: StageResults | undefined;
     const advance = async (): Promise<void> => {
       await Promise.all(
         graph.takeReady().map(async (ready) => {
-          const outcome = await this.runStage(request, graph, ready, signal);
+          const outcome = await this.runStage(request, graph, ready, cancellation);
           if (outcome.kind !== 'done') {
             const { service } = ready.definition;
             failure ??= { kind: 'failed', service, reason: outcome.kind };
-            abort.abort();
+            cancellation.cancel();
             return;
           }
           graph.complete(ready.stage, outcome.handles);
@@ -60,6 +58,7 @@
       );
     };
     await advance();
+    cancellation.dispose();
     const release = () => this.releaseFinal(request, graph);
     if (failure) {
       release();
@@ -93,12 +92,11 @@
     request: CallerRequest,
     graph: StageGraph,
     ready: ReadyStage,
-    signal: AbortSignal,
+    cancellation: Cancellation,
   ): Promise<TaskOutcome> {
-    const { clock, stages, times } = this.services;
+    const { clock, stages } = this.services;
     const { service, resultBytes } = ready.definition;
     const laterMs = this.laterMs(graph, ready.stage);
-    const startedAt = clock.now();
     const { pieceKey } = request.attributes;
     const outcome = await stages.run(
       service,
@@ -109,22 +107,23 @@
         ...(ready.inputs.length === 0 && pieceKey !== undefined && { key: pieceKey }),
         inputs: ready.inputs,
         resultBytes,
+        inputBytes: ready.inputBytes,
+        work: `${request.route.name}/${ready.stage}`,
         priority: request.priority,
         dueAt: request.dueAt - laterMs,
         expiresAt: request.deadlineAt - FIRST_EVENT_MS,
       },
-      signal,
+      cancellation,
     );
-    if (outcome.kind === 'done') times.note(service, clock.now() - startedAt);
+    request.trace.note(`stage${ready.stage}:${outcome.kind}`, clock.now());
     return outcome;
   }
 
-  /** @returns expected time from the end of the stage to the first event, in ms */
+  /** @returns shortest time from the end of the stage to the first event, in ms */
   private laterMs(graph: StageGraph, stage: number): number {
-    const { times, table } = this.services;
     const [, ...later] = graph.remainingServices(stage);
     return later.reduce(
-      (sum, service) => sum + times.expected(table()?.service(service)),
+      (sum, service) => sum + (this.services.table()?.service(service)?.stage?.callMs ?? 0),
       FIRST_EVENT_MS,
     );
   }
--- a/src/serving/StreamForwarder.ts
+++ b/src/serving/StreamForwarder.ts
@@ -1,3 +1,4 @@
+import type { Disposable } from '../common/events/Types.js';
 import type { BackendServer } from '../common/serving/ServingConfiguration.js';
 import { isRepeatable, type CallerRequest } from './CallerRequest.js';
 import { EventParser } from './EventParser.js';
@@ -36,7 +37,7 @@
 
   private timer: NodeJS.Timeout | undefined;
 
-  private readonly onAbort = () => this.finish({ kind: 'cancelled' }, true);
+  private subscription: Disposable | undefined;
 
   constructor(
     private readonly services: ForwardServices,
@@ -67,9 +68,10 @@
         resolve({ kind: 'unsent', cause: 'all connections of the own share are in use' });
         return;
       }
-      request.signal.addEventListener('abort', this.onAbort, { once: true });
       this.expectWithin(this.patience.firstEventMs);
-      if (request.signal.aborted) this.onAbort();
+      this.subscription = request.cancellation.onCancelled(() =>
+        this.finish({ kind: 'cancelled' }, true),
+      );
     });
   }
 
@@ -164,7 +166,7 @@
 
   private finish(outcome: ForwardOutcome, isOpen: boolean): void {
     clearTimeout(this.timer);
-    this.request.signal.removeEventListener('abort', this.onAbort);
+    this.subscription?.dispose();
     if (isOpen) this.exchange?.abort();
     this.settle(outcome);
   }
--- /dev/null
+++ b/src/serving/peers/ChannelServer.ts
@@ -0,0 +1,86 @@
+import { createServer, type Server, type Socket } from 'node:net';
+import { Cancellation } from '../../common/events/Cancellation.js';
+import type { TaskOutcome } from '../../common/serving/StageQueue.js';
+import type { Logger } from '../../telemetry/Logger.js';
+import { MessageLines } from './MessageLines.js';
+import { ChannelRequest, type StageOrder } from './PeerMessages.js';
+
+/** What carries out the orders of peers. */
+export interface StageService {
+  runStage(order: StageOrder, cancellation: Cancellation): Promise<TaskOutcome>;
+  release(handles: readonly string[]): void;
+}
+
+type Handlers = {
+  readonly [Type in ChannelRequest['type']]: (
+    message: Extract<ChannelRequest, { type: Type }>,
+  ) => void;
+};
+
+/**
+ * Takes stage orders of peers. Orders come on kept connections, many at once: a call of its own for
+ * each would cost several times the processor time of the stage's bookkeeping.
+ */
+export class ChannelServer {
+  private readonly server: Server;
+
+  private readonly sockets = new Set<Socket>();
+
+  constructor(
+    private readonly service: StageService,
+    private readonly logger: Logger,
+  ) {
+    this.server = createServer((socket) => this.accept(socket));
+  }
+
+  listen(ip: string, port: number): Promise<void> {
+    return new Promise((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(port, ip, resolve);
+    });
+  }
+
+  dispose(): void {
+    this.server.close();
+    this.sockets.forEach((socket) => socket.destroy());
+  }
+
+  private accept(socket: Socket): void {
+    const running = new Map<number, Cancellation>();
+    this.sockets.add(socket);
+    const lines: MessageLines = new MessageLines(socket, (message) =>
+      this.handle(message, handlers),
+    );
+    const handlers: Handlers = {
+      run: ({ id, order }) => {
+        const cancellation = new Cancellation();
+        running.set(id, cancellation);
+        this.service.runStage(order, cancellation).then(
+          (outcome) => {
+            running.delete(id);
+            lines.send({ id, outcome });
+          },
+          (error: unknown) => this.logger.error('stage order failed', { error }),
+        );
+      },
+      cancel: ({ id }) => running.get(id)?.cancel(),
+      release: ({ handles }) => this.service.release(handles),
+    };
+    socket.on('error', (error) => this.logger.debug('peer connection failed', { error }));
+    socket.on('close', () => {
+      this.sockets.delete(socket);
+      // Nobody waits for the results any more.
+      running.forEach((cancellation) => cancellation.cancel());
+    });
+  }
+
+  private handle(message: unknown, handlers: Handlers): void {
+    const parsed = ChannelRequest.safeParse(message);
+    if (!parsed.success) {
+      this.logger.warn('malformed peer message ignored', { reason: parsed.error.message });
+      return;
+    }
+    const handler = handlers[parsed.data.type] as (value: ChannelRequest) => void;
+    handler(parsed.data);
+  }
+}
--- /dev/null
+++ b/src/serving/peers/MessageLines.ts
@@ -0,0 +1,31 @@
+import type { Socket } from 'node:net';
+
+/** Largest message, in bytes; a peer that sends more is not one of ours. */
+const MAX_LINE_BYTES = 4 * 1024 * 1024;
+
+/** Sends and receives JSON messages on a connection, one a line. */
+export class MessageLines {
+  private pending = '';
+
+  /**
+   * @param socket - connection
+   * @param onMessage - takes each message
+   */
+  constructor(
+    private readonly socket: Socket,
+    onMessage: (message: unknown) => void,
+  ) {
+    socket.setNoDelay(true);
+    socket.setEncoding('utf8');
+    socket.on('data', (text: Buffer | string) => {
+      const lines = `${this.pending}${text.toString()}`.split('\n');
+      this.pending = lines.pop() ?? '';
+      if (this.pending.length > MAX_LINE_BYTES) socket.destroy(new Error('message too large'));
+      lines.forEach((line) => onMessage(JSON.parse(line)));
+    });
+  }
+
+  send(message: object): void {
+    if (!this.socket.destroyed) this.socket.write(`${JSON.stringify(message)}\n`);
+  }
+}
--- a/src/serving/peers/PeerMessages.ts
+++ b/src/serving/peers/PeerMessages.ts
@@ -1,5 +1,6 @@
 /** Messages between serving processes. */
 import { z } from 'zod';
+import type { TaskOutcome } from '../../common/serving/StageQueue.js';
 
 /** Sent by every process to all others several times a second, as one datagram. */
 export const Heartbeat = z.object({
@@ -8,6 +9,8 @@
   incarnation: z.number(),
   /** Address for calls and datagrams, `ip:port`. */
   address: z.string(),
+  /** Address for stage orders, `ip:port`. */
+  channel: z.string(),
   /** Share of batching that the process can carry, relative to others. */
   weight: z.number().positive(),
   /** True if the process stops; it gets no new work. */
@@ -33,6 +36,8 @@
   key: z.string().optional(),
   inputs: z.array(z.string()),
   resultBytes: z.number(),
+  inputBytes: z.number(),
+  work: z.string(),
   priority: z.number(),
   /** Time left for the stage to meet the objective of its request, in ms; negative if it can't. */
   dueInMs: z.number(),
@@ -41,8 +46,19 @@
 });
 export type StageOrder = z.infer<typeof StageOrder>;
 
-export const ReleaseOrder = z.object({ handles: z.array(z.string()) });
-export type ReleaseOrder = z.infer<typeof ReleaseOrder>;
+/** Sent to the process that batches a service. */
+export const ChannelRequest = z.discriminatedUnion('type', [
+  z.object({ type: z.literal('run'), id: z.number(), order: StageOrder }),
+  z.object({ type: z.literal('cancel'), id: z.number() }),
+  z.object({ type: z.literal('release'), handles: z.array(z.string()) }),
+]);
+export type ChannelRequest = z.infer<typeof ChannelRequest>;
+
+/** Sent back when a stage ended. */
+export interface ChannelReply {
+  readonly id: number;
+  readonly outcome: TaskOutcome;
+}
 
 /** The newest configuration that a process holds, as it stands in the store. */
 export interface ConfigurationCopy {
--- a/src/serving/peers/PeerRouter.ts
+++ b/src/serving/peers/PeerRouter.ts
@@ -1,14 +1,11 @@
-/** tRPC router by which serving processes call each other. */
+/** tRPC router by which serving processes call each other, for calls that are rare. */
 import { initTRPC } from '@trpc/server';
-import type { TaskOutcome } from '../../common/serving/StageQueue.js';
-import { ReleaseOrder, StageOrder, type ConfigurationCopy } from './PeerMessages.js';
+import type { ConfigurationCopy } from './PeerMessages.js';
 
 const { router, procedure } = initTRPC.create();
 
 /** What carries out the calls of peers. */
 export interface PeerService {
-  runStage(order: StageOrder, signal: AbortSignal): Promise<TaskOutcome>;
-  release(handles: readonly string[]): void;
   configuration(): ConfigurationCopy | undefined;
 }
 
@@ -17,15 +14,7 @@
  * @returns router to serve under the tRPC path
  */
 export function createPeerRouter(service: PeerService) {
-  return router({
-    runStage: procedure
-      .input(StageOrder)
-      .mutation(({ input, signal }) =>
-        service.runStage(input, signal ?? new AbortController().signal),
-      ),
-    release: procedure.input(ReleaseOrder).mutation(({ input }) => service.release(input.handles)),
-    configuration: procedure.query(() => service.configuration()),
-  });
+  return router({ configuration: procedure.query(() => service.configuration()) });
 }
 
 /** Type of the router, for typed clients. */
