Tell a reset that arrives with data from the end of an answer

When a reset arrives together with data, libuv reports the end of the stream and no error. The kernel then no longer knows the socket's peer, which is checked at the end of each stream.

Ruled out: the order of the error listeners (a reset that arrives after the data was already told apart). The new test fails without the change.

--- a/src/serving/Link.ts
+++ b/src/serving/Link.ts
@@ -12,6 +12,10 @@
     public idleSince: number,
   ) {}
 
+  noteFailure(): void {
+    this.hasFailed = true;
+  }
+
   take(): void {
     this.isBusy = true;
   }
--- /dev/null
+++ b/src/serving/ServerLinks.test.ts
@@ -0,0 +1,123 @@
+import assert from 'node:assert/strict';
+import { once } from 'node:events';
+import { createServer, type AddressInfo, type Server, type Socket } from 'node:net';
+import { afterEach, describe, it } from 'node:test';
+import type { BackendServer } from '../common/serving/ServingConfiguration.js';
+import { SystemClock } from '../storage/SystemClock.js';
+import { bufferedCall, type BufferedResponse } from './BufferedCall.js';
+import { ServerLinks } from './ServerLinks.js';
+
+const CALL_TIMEOUT_MS = 2000;
+
+/** Answers one connection with raw bytes. */
+type Script = (socket: Socket) => void;
+
+interface RawServer {
+  readonly links: ServerLinks;
+  readonly server: Server;
+  connections(): number;
+}
+
+const running: RawServer[] = [];
+
+async function startServer(script: Script): Promise<RawServer> {
+  let connections = 0;
+  const server = createServer((socket) => {
+    connections += 1;
+    socket.on('error', () => undefined);
+    socket.on('data', () => script(socket));
+  });
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const { port } = server.address() as AddressInfo;
+  const backend: BackendServer = {
+    id: 's1',
+    service: 'plain',
+    address: `127.0.0.1:${port}`,
+    failureDomain: 'north',
+    slots: 1,
+    isDraining: false,
+  };
+  const links = new ServerLinks(backend, new SystemClock(), () => 10);
+  const raw = { links, server, connections: () => connections };
+  running.push(raw);
+  return raw;
+}
+
+function call({ links }: RawServer): Promise<BufferedResponse> {
+  const request = { method: 'GET', path: '/', headers: [], needsFreshConnection: false };
+  return bufferedCall(links, request, { timeoutMs: CALL_TIMEOUT_MS });
+}
+
+const pause = (ms: number) =>
+  new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
+
+describe('ServerLinks', () => {
+  afterEach(() => {
+    running.splice(0).forEach(({ links, server }) => {
+      links.close();
+      server.close();
+    });
+  });
+
+  it('takes a body without length that ends with its connection', async () => {
+    // Guards against refusing answers that are valid without a length.
+    const server = await startServer((socket) => socket.end('HTTP/1.1 200 OK\r\n\r\nwhole'));
+    const response = await call(server);
+    assert.equal(response.kind === 'answered' && response.body.toString(), 'whole');
+  });
+
+  it('reports a body without length whose connection is reset as broken', async () => {
+    // Guards against passing on a part of an answer as the whole.
+    const server = await startServer((socket) => {
+      socket.write('HTTP/1.1 200 OK\r\n\r\npart', () => {
+        setTimeout(() => socket.resetAndDestroy(), 20);
+      });
+    });
+    const response = await call(server);
+    assert.equal(response.kind === 'failed' && response.failure.kind, 'broken');
+  });
+
+  it('reports a reset that arrives together with the body as broken', async () => {
+    // Guards against the order in which data and reset are seen.
+    const server = await startServer((socket) => {
+      socket.write('HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart');
+      socket.resetAndDestroy();
+    });
+    const response = await call(server);
+    assert.equal(response.kind === 'failed' && response.failure.kind, 'broken');
+  });
+
+  it('reports a refused connection as unsent', async () => {
+    // Guards against an unknown outcome for a request of which no byte was sent.
+    const server = await startServer(() => undefined);
+    server.server.close();
+    await once(server.server, 'close');
+    const response = await call(server);
+    assert.equal(response.kind === 'failed' && response.failure.kind, 'unsent');
+  });
+
+  it('does not take a second answer for the answer of the next request', async () => {
+    // Guards against an extra answer on a kept connection reaching another caller.
+    const answer = 'HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n';
+    const server = await startServer((socket) => socket.write(`${answer}one${answer}two`));
+    const first = await call(server);
+    await pause(60);
+    const second = await call(server);
+    assert.equal(first.kind === 'answered' && first.body.toString(), 'one');
+    assert.equal(second.kind === 'answered' && second.body.toString(), 'one');
+    assert.equal(server.connections(), 2);
+  });
+
+  it('uses a kept connection again', async () => {
+    const server = await startServer((socket) =>
+      socket.write('HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'),
+    );
+    await call(server);
+    await pause(60);
+    await call(server);
+    assert.equal(server.connections(), 1);
+  });
+});
--- a/src/serving/ServerLinks.ts
+++ b/src/serving/ServerLinks.ts
@@ -1,3 +1,4 @@
+import type { Socket } from 'node:net';
 import { buildConnector, Client, type Dispatcher } from 'undici';
 import { Link } from './Link.js';
 import { isConnectError } from '../common/ConnectError.js';
@@ -111,10 +112,8 @@
       connect: (options, callback) =>
         connect(options, (...result) => {
           const [, socket] = result;
-          // Registered before undici's own listener, so the flag is set when the body ends.
-          socket?.once('error', () => {
-            link.hasFailed = true;
-          });
+          // Registered before undici's own listeners, so the flag is set when the body ends.
+          if (socket) watchForReset(socket, () => link.noteFailure());
           callback(...result);
         }),
     });
@@ -193,3 +192,14 @@
 function textHeaders(headers: unknown): string[] {
   return Array.isArray(headers) ? headers.map((part) => part.toString('latin1')) : [];
 }
+
+/**
+ * Tells of a connection that was reset. If the reset arrives together with data, Node.js reports the
+ * end of the stream and no error; the kernel then no longer knows the peer of the socket.
+ */
+function watchForReset(socket: Socket, onReset: () => void): void {
+  socket.once('error', onReset);
+  socket.once('end', () => {
+    if (socket.remoteAddress === undefined) onReset();
+  });
+}
