Send requests of one subject to one engine and make results beside it

Results lay in any domain, so that the engine was chosen by them.

Now one engine ranks first by hash of the shared parts, others follow with a cost for reading again, and results of the last stage that are costly to move are made in its failure domain, with 40 ms of patience. A short chain of stages starts late, so its results are held briefly.

Also: a malformed peer message closes its connection instead of ending the process; a peer whose clock was set back is heard again; batching goes to instances with more cores and link.

--- a/src/common/serving/CallDraft.ts
+++ b/src/common/serving/CallDraft.ts
@@ -8,7 +8,7 @@
 const SLOW_FACTOR = 1.6;
 
 /**
- * Time that a task waits for a server beside its inputs, in ms. Longer waits made calls less full
+ * Time that a task waits for a server in its preferred failure domain, in ms. Longer waits made calls less full
  * and requests late, which cost more than the transfer.
  */
 const DOMAIN_PATIENCE_MS = 40;
@@ -95,17 +95,17 @@
   const isSlow = state.slowness > SLOW_FACTOR;
   // Only slow servers are avoided: a call that is left less full delays everything behind it.
   if (isSlow && !isLate && now + state.slowness * ownMs > task.dueAt) return false;
-  return !shouldWaitForInputDomain(state, entry, context);
+  return !shouldWaitForDomain(state, entry, context);
 }
 
-/** A task whose inputs are costly to move waits a little for a server beside them. */
-function shouldWaitForInputDomain(
+/** A task with costly transfers waits a little for a server that saves them. */
+function shouldWaitForDomain(
   state: StageServer,
   { task, addedAt }: WaitingTask,
   { now, healthy }: DraftContext,
 ): boolean {
-  const { inputDomain } = task;
-  if (inputDomain === undefined || state.server.failureDomain === inputDomain) return false;
+  const { preferredDomain } = task;
+  if (preferredDomain === undefined || state.server.failureDomain === preferredDomain) return false;
   if (now >= addedAt + DOMAIN_PATIENCE_MS) return false;
-  return healthy.some(({ server }) => server.failureDomain === inputDomain);
+  return healthy.some(({ server }) => server.failureDomain === preferredDomain);
 }
--- a/src/common/serving/EnginePlacement.ts
+++ b/src/common/serving/EnginePlacement.ts
@@ -32,6 +32,21 @@
 /** Cost of moving a megabyte of results between failure domains, as time. */
 const REMOTE_MEGABYTE_COST_MS = 12;
 
+/**
+ * Cost of reading a thousand tokens again that another engine keeps, as time, beside the reading
+ * itself: it displaces other parts and delays the tokens of all requests that run there.
+ */
+const REPEATED_READ_COST_MS = 40;
+
+/** Cost of the second and of later choices by hash, so that overflow of one key meets again. */
+const SECOND_CHOICE_COST_MS = 10;
+const LATER_CHOICE_COST_MS = 20;
+
+/** A part that this many engines were sent is taken to be kept by all. */
+const COMMON_PART_ENGINES = 3;
+
+const TOKENS_PER_THOUSAND = 1000;
+
 /** Parts that were read longer ago may have been evicted from the cache. */
 const CACHED_FOR_MS = 30_000;
 
@@ -64,11 +79,11 @@
    * @returns the cheapest engine
    */
   choose(engines: readonly BackendServer[], demand: EngineDemand): BackendServer | undefined {
-    const homes = this.homesOf(engines, demand.promptParts);
+    const ranked = this.rank(engines, demand.promptParts);
     let best: BackendServer | undefined;
     let bestCost = Infinity;
-    engines.forEach((engine) => {
-      const cost = this.costOf(engine, demand, homes);
+    ranked.forEach((engine, rank) => {
+      const cost = this.costOf(engine, rank, demand);
       if (cost >= bestCost) return;
       best = engine;
       bestCost = cost;
@@ -80,7 +95,9 @@
   missingTokens(engineId: string, parts: readonly PromptPart[]): number {
     const known = this.kept.get(engineId);
     const freshFrom = this.clock.now() - CACHED_FOR_MS;
-    const firstMissing = parts.findIndex(({ id }) => (known?.get(id) ?? -Infinity) < freshFrom);
+    const firstMissing = parts.findIndex(
+      ({ id }) => (known?.get(id) ?? -Infinity) < freshFrom && !this.isCommon(id),
+    );
     if (firstMissing < 0) return 0;
     return sumTokens(parts.slice(firstMissing));
   }
@@ -101,40 +118,42 @@
     this.kept.delete(engineId);
   }
 
-  private costOf(engine: BackendServer, demand: EngineDemand, homes: ReadonlySet<string>): number {
+  private costOf(engine: BackendServer, rank: number, demand: EngineDemand): number {
     const { promptParts } = demand;
+    const missing = this.missingTokens(engine.id, promptParts);
     const ownTokens = sumTokens(promptParts.slice(-1));
-    const missing = homes.has(engine.id)
-      ? Math.min(ownTokens, this.missingTokens(engine.id, promptParts))
-      : this.missingTokens(engine.id, promptParts);
+    // The first choice is taken to keep what requests through other processes brought there.
+    const repeated = rank === 0 ? 0 : Math.max(0, missing - ownTokens);
     const reported = demand.reportedLoad(engine.id);
     const running = this.records.running(engine.id) + reported.running;
-    const tokens = this.records.pendingTokens(engine.id) + reported.tokens + missing;
+    const tokens = this.records.pendingTokens(engine.id) + reported.tokens + ownTokens + repeated;
     const remoteBytes = demand.results
       .filter(({ failureDomain }) => failureDomain !== engine.failureDomain)
       .reduce((sum, { bytes }) => sum + bytes, 0);
+    const choiceCosts = [0, SECOND_CHOICE_COST_MS];
     return (
       tokens / PREFILL_TOKENS_PER_MS +
       running * RUNNING_COST_MS +
-      (remoteBytes / BYTES_PER_MEGABYTE) * REMOTE_MEGABYTE_COST_MS
+      (repeated / TOKENS_PER_THOUSAND) * REPEATED_READ_COST_MS +
+      (remoteBytes / BYTES_PER_MEGABYTE) * REMOTE_MEGABYTE_COST_MS +
+      (choiceCosts[rank] ?? LATER_CHOICE_COST_MS)
     );
   }
 
-  /** The engine that ranks first by hash of the shared parts, in each failure domain. */
-  private homesOf(engines: readonly BackendServer[], parts: readonly PromptPart[]): Set<string> {
+  /** Orders engines by hash of the last shared part; without one, their order is arbitrary. */
+  private rank(engines: readonly BackendServer[], parts: readonly PromptPart[]): BackendServer[] {
     const key = sharedParts(parts).at(-1)?.id;
-    if (key === undefined) return new Set();
-    const ranked = rankByHash(
-      engines.map((engine) => ({ ...engine, weight: 1 })),
-      key,
-    );
-    const seen = new Set<string>();
-    const homes = ranked.filter(({ failureDomain }) => {
-      const isFirst = !seen.has(failureDomain);
-      seen.add(failureDomain);
-      return isFirst;
+    if (key === undefined) return [...engines];
+    const candidates = engines.map((engine) => ({ id: engine.id, weight: 1, engine }));
+    return rankByHash(candidates, key).map(({ engine }) => engine);
+  }
+
+  private isCommon(partId: string): boolean {
+    let engines = 0;
+    this.kept.forEach((known) => {
+      if (known.has(partId)) engines += 1;
     });
-    return new Set(homes.map(({ id }) => id));
+    return engines >= COMMON_PART_ENGINES;
   }
 }
 
--- a/src/common/serving/StageGraph.ts
+++ b/src/common/serving/StageGraph.ts
@@ -70,6 +70,25 @@
     return this.handles.get(stage) ?? [];
   }
 
+  /**
+   * @param stage - first stage of a chain
+   * @param durationMs - shortest time of a stage
+   * @returns time by which the chain may start later than the longest one and end with it, in ms
+   */
+  slackMs(stage: number, durationMs: (service: string) => number): number {
+    const lengthOf = (first: number) =>
+      this.remainingServices(first).reduce((sum, service) => sum + durationMs(service), 0);
+    const lengths = this.stages.map((definition, index) =>
+      definition.dependsOn.length === 0 && this.piecesOf(index) > 0 ? lengthOf(index) : 0,
+    );
+    return Math.max(0, ...lengths) - lengthOf(stage);
+  }
+
+  /** True if the request itself reads the results of the stage. */
+  isFinal(stage: number): boolean {
+    return this.readersOf(stage).length === 0;
+  }
+
   /** @returns services of stages that have pieces, from the given stage to the end of its chain */
   remainingServices(stage: number): string[] {
     const [reader] = this.readersOf(stage);
--- a/src/common/serving/StageQueue.test.ts
+++ b/src/common/serving/StageQueue.test.ts
@@ -245,7 +245,7 @@
             createTask({
               pieces: 16,
               inputBytes: 360_000,
-              inputDomain: domains[Math.floor(random() * domains.length)]!,
+              preferredDomain: domains[Math.floor(random() * domains.length)]!,
               dueAt: at + 700,
               expiresAt: at + 4000,
             }),
--- a/src/common/serving/StageQueue.ts
+++ b/src/common/serving/StageQueue.ts
@@ -18,8 +18,8 @@
   readonly inputBytes: number;
   /** Names the kind of work, whose pieces take about the same time. */
   readonly work: string;
-  /** Where most bytes of the inputs lie, if moving them between failure domains is costly. */
-  readonly inputDomain?: string;
+  /** Failure domain beside which moving inputs or results costs least, if that matters. */
+  readonly preferredDomain?: string;
   /** 0 is the most urgent. */
   readonly priority: number;
   /** Time by which the stage has to end for the request to meet its objective, on the clock. */
--- a/src/common/serving/testing/StageReplay.ts
+++ b/src/common/serving/testing/StageReplay.ts
@@ -132,7 +132,7 @@
     this.calls.push({ call, endsAt: this.clock.now() + this.capacity.callMs + workMs });
     const domain = call.server.failureDomain;
     call.pieces
-      .filter(({ task }) => (task.inputDomain ?? domain) !== domain)
+      .filter(({ task }) => (task.preferredDomain ?? domain) !== domain)
       .forEach(({ taskId, task }) => {
         const before = this.remoteBytes.get(taskId) ?? 0;
         this.remoteBytes.set(taskId, before + task.inputBytes);
--- a/src/serving/RequestRunner.ts
+++ b/src/serving/RequestRunner.ts
@@ -80,7 +80,7 @@
       this.refuse(request, refusal.reason, refusal.retryAfterMs);
       return;
     }
-    const results = await this.runStages(request);
+    const results = await this.runStages(request, service);
     if (!results) return;
     const release = once(() => results.release());
     try {
@@ -107,23 +107,30 @@
 
   private async runStages(
     request: CallerRequest,
+    service: string,
   ): Promise<Extract<StageResults, { kind: 'done' }> | undefined> {
     const needsStages = request.attributes.pieceCounts.some((pieces) => pieces > 0);
     if (request.route.stages.length === 0 || !needsStages) {
       return { kind: 'done', results: [], release: () => undefined };
     }
-    const results = await this.services.stages.run(request);
+    const results = await this.services.stages.run(request, this.engineDomain(request, service));
     if (request.cancellation.isCancelled) {
       if (results.kind === 'done') results.release();
       return undefined;
     }
     if (results.kind === 'done') return results;
-    const { service, reason } = results;
-    const retryAfterMs = Math.max(FULL_RETRY_MS, this.services.view.backlogOf(service));
-    this.refuse(request, `stage ${reason} at ${service}`, retryAfterMs);
+    const { service: failed, reason } = results;
+    const retryAfterMs = Math.max(FULL_RETRY_MS, this.services.view.backlogOf(failed));
+    this.refuse(request, `stage ${reason} at ${failed}`, retryAfterMs);
     return undefined;
   }
 
+  /** @returns failure domain of the engine that would get the request now */
+  private engineDomain(request: CallerRequest, service: string): string | undefined {
+    const results = { kind: 'done', results: [], release: () => undefined } as const;
+    return this.chooseServer(request, service, new Set(), results)?.failureDomain;
+  }
+
   private async serve(
     request: CallerRequest,
     service: string,
--- a/src/serving/ServerLinks.ts
+++ b/src/serving/ServerLinks.ts
@@ -1,7 +1,6 @@
 import type { Socket } from 'node:net';
 import { buildConnector, Client, type Dispatcher } from 'undici';
 import { Link } from './Link.js';
-import { isConnectError } from '../common/ConnectError.js';
 import type { BackendServer } from '../common/serving/ServingConfiguration.js';
 import type { Clock } from '../common/time/Types.js';
 
@@ -164,7 +163,7 @@
           });
         },
         onResponseError: (_current, error) => {
-          const kind = isSent && !isConnectError(error) ? 'broken' : 'unsent';
+          const kind = isSent ? 'broken' : 'unsent';
           finish(false, () => listener.onFailure({ kind, message: error.message }));
         },
       },
--- a/src/serving/ServingProcess.ts
+++ b/src/serving/ServingProcess.ts
@@ -68,6 +68,9 @@
 
 const STOP_CHECK_MS = 50;
 
+/** Link on which the traffic of batching does not show, in Mbit/s. */
+const AMPLE_LINK_MBPS = 200;
+
 /** One process that serves callers, batches stages and keeps in touch with its peers. */
 export class ServingProcess {
   private readonly directory: ServerDirectory;
@@ -344,6 +347,12 @@
     return `${ip}:${internalPorts[0]}`;
   }
 
+  /** Small instances on slow links batch only if no other is left. */
+  private get batchingWeight(): number {
+    const { coreShare, cores, linkMbps } = this.parts.settings.instance;
+    return coreShare * cores * Math.min(1, linkMbps / AMPLE_LINK_MBPS);
+  }
+
   private heartbeat(): Heartbeat {
     const { settings } = this.parts;
     return {
@@ -351,7 +360,7 @@
       incarnation: this.incarnation,
       address: this.peerAddress,
       channel: `${settings.ip}:${settings.internalPorts[0] + 1}`,
-      weight: settings.cores,
+      weight: this.batchingWeight,
       isLeaving: this.isStopping,
       configurationVersion: this.configuration.version,
       backlogs: Object.fromEntries(this.batcher.backlogs()),
--- a/src/serving/ServingSettings.ts
+++ b/src/serving/ServingSettings.ts
@@ -16,8 +16,13 @@
   internalPorts: z.tuple([z.number().int(), z.number().int()]),
   /** Address of the store. */
   store: Address,
-  /** Processor time of the instance, in cores; processes with more carry more batching. */
-  cores: z.number().positive(),
+  /** What the instance has; processes with more carry more of the batching. */
+  instance: z.object({
+    /** Part of each core that the process may use. */
+    coreShare: z.number().positive(),
+    cores: z.number().positive(),
+    linkMbps: z.number().positive(),
+  }),
   shutdown: z.object({
     /** Time from SIGTERM to SIGKILL, in seconds. */
     graceSeconds: z.number().positive(),
--- a/src/serving/StageBatcher.ts
+++ b/src/serving/StageBatcher.ts
@@ -183,8 +183,11 @@
       onEnd({ kind: 'failed' });
       return;
     }
-    const inputDomain = this.inputDomainOf(task);
-    const taskId = queue.add({ ...task, ...(inputDomain !== undefined && { inputDomain }) });
+    const preferredDomain = this.inputDomainOf(task) ?? task.preferredDomain;
+    const taskId = queue.add({
+      ...task,
+      ...(preferredDomain !== undefined && { preferredDomain }),
+    });
     this.taskIds.set(task, taskId);
     this.listeners.set(listenerKey(service, taskId), (outcome) => {
       this.taskIds.delete(task);
--- a/src/serving/StageRunner.ts
+++ b/src/serving/StageRunner.ts
@@ -1,3 +1,4 @@
+import { setTimeout as sleep } from 'node:timers/promises';
 import { Cancellation } from '../common/events/Cancellation.js';
 import type { Clock } from '../common/time/Types.js';
 import type { RouteTable } from '../common/serving/RouteTable.js';
@@ -24,6 +25,17 @@
       readonly reason: Exclude<TaskOutcome['kind'], 'done'>;
     };
 
+/** Size of a stage's results from which on their place matters, in bytes. */
+const MIN_COSTLY_BYTES = 500_000;
+
+/** The stages of one request. */
+interface StagesRun {
+  readonly request: CallerRequest;
+  readonly graph: StageGraph;
+  readonly cancellation: Cancellation;
+  readonly engineDomain: string | undefined;
+}
+
 /** What {@link StageRunner} needs of its surroundings. */
 export interface StageRunnerServices {
   readonly clock: Clock;
@@ -35,8 +47,12 @@
 export class StageRunner {
   constructor(private readonly services: StageRunnerServices) {}
 
-  /** @returns results of all stages, or the first failure */
-  async run(request: CallerRequest): Promise<StageResults> {
+  /**
+   * @param request - caller's request
+   * @param engineDomain - failure domain of the engine that will probably get the request
+   * @returns results of all stages, or the first failure
+   */
+  async run(request: CallerRequest, engineDomain: string | undefined): Promise<StageResults> {
     const { route, attributes } = request;
     const graph = new StageGraph(route.stages, attributes.pieceCounts);
     const cancellation = new Cancellation(request.cancellation);
@@ -44,7 +60,10 @@
     const advance = async (): Promise<void> => {
       await Promise.all(
         graph.takeReady().map(async (ready) => {
-          const outcome = await this.runStage(request, graph, ready, cancellation);
+          const outcome = await this.runStage(
+            { request, graph, cancellation, engineDomain },
+            ready,
+          );
           if (outcome.kind !== 'done') {
             const { service } = ready.definition;
             failure ??= { kind: 'failed', service, reason: outcome.kind };
@@ -88,13 +107,15 @@
     return Math.max(0, ...ends);
   }
 
-  private async runStage(
-    request: CallerRequest,
-    graph: StageGraph,
-    ready: ReadyStage,
-    cancellation: Cancellation,
-  ): Promise<TaskOutcome> {
+  private async runStage(run: StagesRun, ready: ReadyStage): Promise<TaskOutcome> {
+    const { request, graph, cancellation, engineDomain } = run;
     const { clock, stages } = this.services;
+    // Results are held until the request reads them, so a short chain starts late.
+    const slackMs =
+      ready.inputs.length === 0 ? graph.slackMs(ready.stage, (name) => this.callMs(name)) : 0;
+    if (slackMs > 0) await sleep(slackMs);
+    const isCostly = ready.pieces * ready.definition.resultBytes >= MIN_COSTLY_BYTES;
+    const preferredDomain = graph.isFinal(ready.stage) && isCostly ? engineDomain : undefined;
     const { service, resultBytes } = ready.definition;
     const laterMs = this.laterMs(graph, ready.stage);
     const { pieceKey } = request.attributes;
@@ -109,6 +130,7 @@
         resultBytes,
         inputBytes: ready.inputBytes,
         work: `${request.route.name}/${ready.stage}`,
+        ...(preferredDomain !== undefined && { preferredDomain }),
         priority: request.priority,
         dueAt: request.dueAt - laterMs,
         expiresAt: request.deadlineAt - FIRST_EVENT_MS,
@@ -122,10 +144,11 @@
   /** @returns shortest time from the end of the stage to the first event, in ms */
   private laterMs(graph: StageGraph, stage: number): number {
     const [, ...later] = graph.remainingServices(stage);
-    return later.reduce(
-      (sum, service) => sum + (this.services.table()?.service(service)?.stage?.callMs ?? 0),
-      FIRST_EVENT_MS,
-    );
+    return later.reduce((sum, service) => sum + this.callMs(service), FIRST_EVENT_MS);
+  }
+
+  private callMs(service: string): number {
+    return this.services.table()?.service(service)?.stage?.callMs ?? 0;
   }
 
   private releaseConsumed(request: CallerRequest, graph: StageGraph, stage: number): void {
--- a/src/serving/peers/MessageLines.ts
+++ b/src/serving/peers/MessageLines.ts
@@ -21,7 +21,11 @@
       const lines = `${this.pending}${text.toString()}`.split('\n');
       this.pending = lines.pop() ?? '';
       if (this.pending.length > MAX_LINE_BYTES) socket.destroy(new Error('message too large'));
-      lines.forEach((line) => onMessage(JSON.parse(line)));
+      try {
+        lines.forEach((line) => onMessage(JSON.parse(line)));
+      } catch (error) {
+        socket.destroy(error instanceof Error ? error : new Error('malformed message'));
+      }
     });
   }
 
--- a/src/serving/peers/PeerMessages.ts
+++ b/src/serving/peers/PeerMessages.ts
@@ -38,6 +38,7 @@
   resultBytes: z.number(),
   inputBytes: z.number(),
   work: z.string(),
+  preferredDomain: z.string().optional(),
   priority: z.number(),
   /** Time left for the stage to meet the objective of its request, in ms; negative if it can't. */
   dueInMs: z.number(),
--- a/src/serving/peers/PeerView.ts
+++ b/src/serving/peers/PeerView.ts
@@ -34,7 +34,9 @@
   /** Takes a heartbeat; one of an earlier incarnation is ignored. */
   hear(heartbeat: Heartbeat): void {
     const known = this.peers.get(heartbeat.id);
-    if (known && known.heartbeat.incarnation > heartbeat.incarnation) return;
+    const isKnownLive = known !== undefined && this.clock.now() - known.heardAt < SILENCE_MS;
+    // After a silence any incarnation counts: the time of day may have been set back.
+    if (isKnownLive && known.heartbeat.incarnation > heartbeat.incarnation) return;
     this.peers.set(heartbeat.id, {
       heartbeat,
       heardAt: this.clock.now(),
