Judge the due time of a stage by the usual time of the later ones

Cause: under bursts nearly all requests ended 50 to 150 ms after their objective. Their stages counted 150 ms for each later stage, which takes about 300 with waiting, so requests counted as on time that were not, and the oldest, most hopeless ones went first.

--- a/src/serving/StageRunner.ts
+++ b/src/serving/StageRunner.ts
@@ -25,6 +25,12 @@
       readonly reason: Exclude<TaskOutcome['kind'], 'done'>;
     };
 
+/** Usual time of a stage, waiting included, over the fixed time of a call. */
+const USUAL_CALL_FACTOR = 2.6;
+
+/** Usual time from the last stage to the first event, in ms: a long prompt is read in about 80. */
+const USUAL_FIRST_EVENT_MS = 200;
+
 /** Size of a stage's results from which on their place matters, in bytes. */
 const MIN_COSTLY_BYTES = 500_000;
 
@@ -141,10 +147,13 @@
     return outcome;
   }
 
-  /** @returns shortest time from the end of the stage to the first event, in ms */
+  /** @returns usual time from the end of the stage to the first event, in ms */
   private laterMs(graph: StageGraph, stage: number): number {
     const [, ...later] = graph.remainingServices(stage);
-    return later.reduce((sum, service) => sum + this.callMs(service), FIRST_EVENT_MS);
+    return later.reduce(
+      (sum, service) => sum + this.callMs(service) * USUAL_CALL_FACTOR,
+      USUAL_FIRST_EVENT_MS,
+    );
   }
 
   private callMs(service: string): number {
