--- a/src/serving/Connections.ts
+++ b/src/serving/Connections.ts
@@ -38,6 +38,12 @@
     this.links.delete(server.id);
   }
 
+  /** Closes idle connections to all servers. */
+  dispose(): void {
+    this.links.forEach((links) => links.close());
+    this.links.clear();
+  }
+
   private shareOf(server: BackendServer): number {
     const all = this.shares.maxConnections(server.service) * USED_SHARE;
     return Math.max(1, Math.floor(all / Math.max(1, this.shares.processes())));
--- a/src/serving/Ingress.ts
+++ b/src/serving/Ingress.ts
@@ -5,7 +5,12 @@
 import type { Clock } from '../common/time/Types.js';
 import type { Logger } from '../telemetry/Logger.js';
 import type { CallerRequest } from './CallerRequest.js';
-import { CallerResponse, NOT_RUN_STATUS, TIMED_OUT_STATUS } from './CallerResponse.js';
+import {
+  CallerResponse,
+  NOT_RUN_STATUS,
+  TIMED_OUT_STATUS,
+  type Refusal,
+} from './CallerResponse.js';
 import { headerValue } from './HttpHeaders.js';
 import { RequestTrace } from './RequestTrace.js';
 import type { ServingMetrics } from './ServingMetrics.js';
@@ -76,6 +81,12 @@
     this.server.closeIdleConnections();
   }
 
+  /** Closes everything at once. */
+  dispose(): void {
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+
   private accept(message: IncomingMessage, response: ServerResponse): void {
     this.running += 1;
     response.once('close', () => {
@@ -94,18 +105,19 @@
     const answer = new CallerResponse(response, protocol, attributes.attemptId, isStopping);
     const routes = table();
     if (!routes) {
-      this.refuse(answer, NOT_RUN_STATUS, 'no configuration yet', NO_CONFIGURATION_RETRY_MS);
+      const retryAfterMs = NO_CONFIGURATION_RETRY_MS;
+      this.refuse(answer, { status: NOT_RUN_STATUS, reason: 'no configuration yet', retryAfterMs });
       return;
     }
     const target = message.url ?? '/';
     const route = routes.route(headerValue(message.rawHeaders, 'host') ?? '', target);
     if (!route) {
-      this.refuse(answer, 404, 'no such route');
+      this.refuse(answer, { status: 404, reason: 'no such route' }, attributes.attemptId);
       return;
     }
     const account = routes.account(attributes.apiKey);
     if (!account && routes.requiresKey && !route.isPublic) {
-      this.refuse(answer, 401, 'unknown key');
+      this.refuse(answer, { status: 401, reason: 'unknown key' }, attributes.attemptId);
       return;
     }
     const deadlineAt = receivedAt + Math.min(route.timeoutMs, attributes.deadlineMs ?? Infinity);
@@ -157,7 +169,7 @@
       const refuse = () => {
         message.removeAllListeners('data');
         message.resume();
-        this.refuse(answer, 413, 'body too large');
+        this.refuse(answer, { status: 413, reason: 'body too large' });
         resolve(undefined);
       };
       if (Number(message.headers['content-length'] ?? 0) > maxBytes) {
@@ -193,14 +205,13 @@
     answer.refuse({ status, reason: 'time-out' });
   }
 
-  private refuse(
-    answer: CallerResponse,
-    status: number,
-    reason: string,
-    retryAfterMs?: number,
-  ): void {
-    this.services.logger.info('request rejected', { status, reason });
-    answer.refuse({ status, reason, ...(retryAfterMs !== undefined && { retryAfterMs }) });
+  private refuse(answer: CallerResponse, refusal: Refusal, attemptId?: string): void {
+    this.services.logger.info('request rejected', {
+      request: attemptId,
+      ...refusal,
+      configurationVersion: this.services.table()?.version,
+    });
+    answer.refuse(refusal);
   }
 
   private logEnd(
--- a/src/serving/ServingProcess.ts
+++ b/src/serving/ServingProcess.ts
@@ -10,6 +10,7 @@
 import { ConfigurationView } from './ConfigurationView.js';
 import { Connections } from './Connections.js';
 import { Ingress } from './Ingress.js';
+import { RegistrationView } from './RegistrationView.js';
 import { RequestRunner } from './RequestRunner.js';
 import { ServiceBudgets } from './ServiceBudgets.js';
 import { ServingMetrics } from './ServingMetrics.js';
@@ -20,7 +21,8 @@
 import { TableFollower } from './TableFollower.js';
 import type { RowDecoder, ServingProtocol } from './Types.js';
 import { ChannelServer } from './peers/ChannelServer.js';
-import { MemberRow, type Heartbeat } from './peers/PeerMessages.js';
+import { Membership } from './peers/Membership.js';
+import type { Heartbeat } from './peers/PeerMessages.js';
 import { PeerClients } from './peers/PeerClients.js';
 import { createPeerRouter } from './peers/PeerRouter.js';
 import { PeerServer } from './peers/PeerServer.js';
@@ -54,9 +56,6 @@
 /** Waits for changes of the list of processes, which heartbeats confirm anyway. */
 const MEMBER_WAIT_MS = 10_000;
 
-const WRITE_TIMEOUT_MS = 1000;
-const WRITE_RETRY_MS = 500;
-
 /** Interval at which removals of servers that wait for their return are looked at, in ms. */
 const DIRECTORY_CHECK_MS = 100;
 
@@ -77,6 +76,8 @@
 
   private readonly configuration: ConfigurationView;
 
+  private readonly registrations: RegistrationView;
+
   private readonly batcher: StageBatcher;
 
   private readonly view: PeerView;
@@ -95,10 +96,16 @@
 
   private readonly followers: TableFollower[] = [];
 
-  private readonly members = new Map<string, string>();
+  private readonly feeds: RowFeed[] = [];
+
+  private readonly connections: Connections;
+
+  private readonly membership: Membership;
 
   private readonly incarnation: number;
 
+  private directoryTimer: NodeJS.Timeout | undefined;
+
   private isStopping = false;
 
   constructor(private readonly parts: ServingParts) {
@@ -107,6 +114,9 @@
     this.clients = new PeerClients(logger);
     this.directory = new ServerDirectory(clock);
     this.configuration = new ConfigurationView(parts.decoder, logger);
+    this.registrations = new RegistrationView(this.directory, parts.decoder, logger, () =>
+      this.batcher.updateServers(),
+    );
     this.view = new PeerView(clock, () => this.heartbeat());
     this.records = new ServerRecords(clock);
     const { ratio, slack, windowSeconds } = settings.retryBudget;
@@ -114,10 +124,11 @@
     const allowance = { ratio, slack, windowMs: windowSeconds * 1000 };
     const budgets = new ServiceBudgets(clock, allowance, processes);
     const table = () => this.configuration.table;
-    const connections = new Connections(clock, {
+    this.connections = new Connections(clock, {
       maxConnections: (service) => table()?.service(service)?.maxConnections ?? 1,
       processes,
     });
+    const { connections } = this;
     const shared = { clock, logger, protocol, connections, directory: this.directory, table };
     this.batcher = new StageBatcher({
       ...shared,
@@ -179,17 +190,28 @@
       },
       logger,
     );
+    this.membership = new Membership({
+      own: { id: settings.id, address: this.peerAddress },
+      table: parts.names.memberTable,
+      feed: this.openFeed(),
+      logger,
+      clients: this.clients,
+      view: this.view,
+      configuration: this.configuration,
+      registrations: this.registrations,
+    });
     this.peerServer = new PeerServer({
       ip: settings.ip,
       port: settings.internalPorts[0],
       router: createPeerRouter({
         configuration: () => this.configuration.copy,
+        registrations: () => this.registrations.copy,
       }),
       metrics,
       logger,
       heartbeat: () => this.heartbeat(),
-      targets: () => [...this.members.values()],
-      onHeartbeat: (heartbeat) => this.hear(heartbeat),
+      targets: () => this.membership.addresses,
+      onHeartbeat: (heartbeat) => this.membership.hear(heartbeat),
     });
   }
 
@@ -198,6 +220,25 @@
     return !this.isStopping && this.configuration.table !== undefined && this.directory.size > 0;
   }
 
+  get configurationVersion(): number {
+    return this.configuration.version;
+  }
+
+  /** Number of backend servers known. */
+  get serversKnown(): number {
+    return this.directory.size;
+  }
+
+  /** Number of other processes that live. */
+  get peersKnown(): number {
+    return this.view.processes - 1;
+  }
+
+  /** @returns number of backend servers of the service that may get new work */
+  usableServers(service: string): number {
+    return this.directory.usable(service).length;
+  }
+
   /** Listens, makes itself known and starts to follow the store. */
   async start(): Promise<void> {
     const { settings, names, logger } = this.parts;
@@ -215,17 +256,19 @@
       apply: (rows) => this.applyConfiguration(rows),
     });
     this.follow(names.serverTable, CHANGE_WAIT_MS, {
-      replaceAll: (rows) => this.applyServers(rows, true),
-      apply: (rows) => this.applyServers(rows, false),
-      onReachable: () => this.directory.markStoreReachable(),
-      onLost: () => this.directory.markStoreLost(),
+      replaceAll: (rows, version) => this.registrations.replaceAll(rows, version),
+      apply: (rows, version) => this.registrations.apply(rows, version),
+      onReachable: () => this.registrations.markStoreReachable(),
+      onLost: () => this.registrations.markStoreLost(),
     });
     this.follow(names.memberTable, MEMBER_WAIT_MS, {
-      replaceAll: (rows) => this.replaceMembers(rows),
-      apply: (rows) => this.applyMembers(rows),
+      replaceAll: (rows) => this.membership.replaceRows(rows),
+      apply: (rows) => this.membership.applyRows(rows),
     });
-    setInterval(() => this.checkDirectory(), DIRECTORY_CHECK_MS);
-    this.writeMember(true).catch((error: unknown) => logger.error('member row failed', { error }));
+    this.directoryTimer = setInterval(() => this.checkDirectory(), DIRECTORY_CHECK_MS);
+    this.membership
+      .announce()
+      .catch((error: unknown) => logger.error('member row failed', { error }));
     logger.info('started', { id: settings.id, incarnation: this.incarnation });
   }
 
@@ -237,9 +280,9 @@
     const startedAt = clock.now();
     logger.info('stopping', { running: this.ingress.requestsRunning });
     this.peerServer.beat();
-    this.writeMember(false).catch((error: unknown) =>
-      logger.warn('member row not removed', { error }),
-    );
+    this.membership
+      .withdraw()
+      .catch((error: unknown) => logger.warn('member row not removed', { error }));
     const endsAt = startedAt + settings.shutdown.graceSeconds * 1000 - EXIT_MARGIN_MS;
     await sleep(BALANCER_LAG_MS);
     while (clock.now() < endsAt) {
@@ -247,18 +290,32 @@
       if (this.ingress.requestsRunning === 0) break;
       await sleep(STOP_CHECK_MS);
     }
-    this.followers.forEach((follower) => follower.dispose());
     logger.info('stopped', { running: this.ingress.requestsRunning });
   }
 
+  /** Ends everything at once, as the end of the process would. */
+  async dispose(): Promise<void> {
+    clearInterval(this.directoryTimer);
+    this.followers.forEach((follower) => follower.dispose());
+    this.peerServer.dispose();
+    this.channels.dispose();
+    this.clients.dispose();
+    this.batcher.dispose();
+    this.ingress.dispose();
+    this.readiness.close();
+    this.readiness.closeAllConnections();
+    await Promise.all(this.feeds.map((feed) => feed.close()));
+    this.connections.dispose();
+  }
+
   private follow(
     table: string,
     waitMs: number,
     listener: Partial<TableFollowerListener> & Pick<TableFollowerListener, 'replaceAll' | 'apply'>,
   ): void {
-    const { createFeed, settings, logger, random } = this.parts;
+    const { logger, random } = this.parts;
     const follower = new TableFollower({
-      feed: createFeed(settings.store),
+      feed: this.openFeed(),
       table,
       waitMs,
       listener: { onReachable: () => undefined, onLost: () => undefined, ...listener },
@@ -269,79 +326,24 @@
     follower.run().catch((error: unknown) => logger.error('follower failed', { table, error }));
   }
 
+  private openFeed(): RowFeed {
+    const feed = this.parts.createFeed(this.parts.settings.store);
+    this.feeds.push(feed);
+    return feed;
+  }
+
   private applyConfiguration(rows: readonly FeedRow[]): void {
     rows
       .filter(({ key }) => key === this.parts.names.configurationKey)
       .forEach(({ value }) => value && this.configuration.offer(value, 'store'));
   }
 
-  private applyServers(rows: readonly FeedRow[], isComplete: boolean): void {
-    const registrations = rows.map(({ key, value }) => {
-      if (!value) return { id: key };
-      const decoded = this.parts.decoder.registration(key, value);
-      if (decoded.ok) return decoded.value;
-      const { reason } = decoded;
-      this.parts.logger.warn('registration ignored', { server: key, reason });
-      return { id: key };
-    });
-    if (isComplete) this.directory.replaceAll(registrations);
-    else this.directory.apply(registrations);
-    if (registrations.length > 0) this.batcher.updateServers();
-  }
-
   private checkDirectory(): void {
     const before = this.directory.size;
     this.directory.expire();
     if (this.directory.size !== before) this.batcher.updateServers();
   }
 
-  private replaceMembers(rows: readonly FeedRow[]): void {
-    this.members.clear();
-    this.applyMembers(rows);
-  }
-
-  private applyMembers(rows: readonly FeedRow[]): void {
-    rows.forEach(({ key, value }) => {
-      this.members.delete(key);
-      if (!value || key === this.parts.settings.id) return;
-      const member = MemberRow.safeParse(parseJson(value));
-      if (member.success) this.members.set(key, member.data.address);
-      else this.parts.logger.warn('member row ignored', { member: key });
-    });
-  }
-
-  private async writeMember(isPresent: boolean): Promise<void> {
-    const { settings, names, createFeed, logger } = this.parts;
-    const feed = createFeed(settings.store);
-    const row = { id: settings.id, address: this.peerAddress };
-    const value = isPresent ? Buffer.from(JSON.stringify(row)) : undefined;
-    const options = { timeoutMs: WRITE_TIMEOUT_MS };
-    for (;;) {
-      const result = await feed.write(names.memberTable, settings.id, value, options);
-      if (result.ok || this.isStopping === isPresent) return;
-      logger.warn('member row not written', { error: result.error });
-      await sleep(WRITE_RETRY_MS);
-    }
-  }
-
-  private hear(heartbeat: Heartbeat): void {
-    this.view.hear(heartbeat);
-    // A peer may be known by its heartbeat before its row is read.
-    if (!this.members.has(heartbeat.id)) this.members.set(heartbeat.id, heartbeat.address);
-    if (heartbeat.configurationVersion > this.configuration.version) this.pull(heartbeat);
-  }
-
-  /** Takes a newer configuration from a peer, for processes that the store does not answer. */
-  private pull({ id, address }: Heartbeat): void {
-    this.clients
-      .to(address)
-      .configuration.query(undefined, { signal: AbortSignal.timeout(WRITE_TIMEOUT_MS) })
-      .then((copy) => copy && this.configuration.offer(Buffer.from(copy.value, 'base64'), id))
-      .catch((error: unknown) =>
-        this.parts.logger.debug('configuration not pulled', { peer: id, error }),
-      );
-  }
-
   private get peerAddress(): string {
     const { ip, internalPorts } = this.parts.settings;
     return `${ip}:${internalPorts[0]}`;
@@ -363,6 +365,7 @@
       weight: this.batchingWeight,
       isLeaving: this.isStopping,
       configurationVersion: this.configuration.version,
+      serverVersion: this.registrations.version,
       backlogs: Object.fromEntries(this.batcher.backlogs()),
       engines: this.records.engineLoads(),
     };
@@ -375,12 +378,3 @@
   const separator = address.lastIndexOf(':');
   return { ip: address.slice(0, separator), port: Number(address.slice(separator + 1)) };
 }
-
-function parseJson(value: Buffer): unknown {
-  try {
-    return JSON.parse(value.toString('utf8'));
-  } catch {
-    // The schema check that follows rejects it.
-    return undefined;
-  }
-}
--- a/src/serving/TableFollower.ts
+++ b/src/serving/TableFollower.ts
@@ -13,9 +13,9 @@
 /** Takes what a follower learns. */
 export interface TableListener {
   /** Takes all rows of the table. */
-  replaceAll(rows: readonly FeedRow[]): void;
+  replaceAll(rows: readonly FeedRow[], version: number): void;
   /** Takes rows that changed. */
-  apply(rows: readonly FeedRow[]): void;
+  apply(rows: readonly FeedRow[], version: number): void;
   onReachable(): void;
   onLost(): void;
 }
@@ -64,7 +64,7 @@
     if (!result.ok) return result.error;
     listener.onReachable();
     this.version = result.value.version;
-    listener.replaceAll(result.value.rows);
+    listener.replaceAll(result.value.rows, this.version);
     return undefined;
   }
 
@@ -81,7 +81,7 @@
     }
     const { rows, version } = result.value.page;
     this.version = Math.max(this.version!, version);
-    listener.apply(rows);
+    listener.apply(rows, this.version);
     return undefined;
   }
 
--- /dev/null
+++ b/src/serving/peers/Membership.ts
@@ -0,0 +1,127 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+import type { FeedRow, RowFeed } from '../../storage/RowFeed.js';
+import type { Logger } from '../../telemetry/Logger.js';
+import type { ConfigurationView } from '../ConfigurationView.js';
+import type { RegistrationView } from '../RegistrationView.js';
+import type { PeerClients } from './PeerClients.js';
+import { MemberRow, type Heartbeat } from './PeerMessages.js';
+import type { PeerView } from './PeerView.js';
+
+const WRITE_TIMEOUT_MS = 1000;
+const WRITE_RETRY_MS = 500;
+
+/** Time for a peer to hand over what it knows, in ms. */
+const PULL_TIMEOUT_MS = 1000;
+
+/** What {@link Membership} needs of its surroundings. */
+export interface MembershipServices {
+  readonly own: MemberRow;
+  readonly table: string;
+  readonly feed: RowFeed;
+  readonly logger: Logger;
+  readonly clients: PeerClients;
+  readonly view: PeerView;
+  readonly configuration: ConfigurationView;
+  readonly registrations: RegistrationView;
+}
+
+/**
+ * Makes this process known to its peers and them to it. Rows in the store tell the addresses; who
+ * lives is told by heartbeats alone, which also work while the store is away.
+ */
+export class Membership {
+  private readonly members = new Map<string, string>();
+
+  private isLeaving = false;
+
+  private readonly pulls = new Set<string>();
+
+  constructor(private readonly services: MembershipServices) {}
+
+  /** Addresses of the other processes. */
+  get addresses(): string[] {
+    return [...this.members.values()];
+  }
+
+  replaceRows(rows: readonly FeedRow[]): void {
+    this.members.clear();
+    this.applyRows(rows);
+  }
+
+  applyRows(rows: readonly FeedRow[]): void {
+    rows.forEach(({ key, value }) => {
+      this.members.delete(key);
+      if (!value || key === this.services.own.id) return;
+      const member = MemberRow.safeParse(parseJson(value));
+      if (member.success) this.members.set(key, member.data.address);
+      else this.services.logger.warn('member row ignored', { member: key });
+    });
+  }
+
+  /** Writes the own row until the store has it or the process leaves. */
+  async announce(): Promise<void> {
+    await this.write(Buffer.from(JSON.stringify(this.services.own)), () => this.isLeaving);
+  }
+
+  /** Removes the own row; given up after the first try that fails. */
+  async withdraw(): Promise<void> {
+    this.isLeaving = true;
+    await this.write(undefined, () => true);
+  }
+
+  /** Takes a heartbeat and whatever its sender knows better. */
+  hear(heartbeat: Heartbeat): void {
+    const { view, configuration, registrations } = this.services;
+    view.hear(heartbeat);
+    // A peer may be known by its heartbeat before its row is read.
+    if (!this.members.has(heartbeat.id)) this.members.set(heartbeat.id, heartbeat.address);
+    if (heartbeat.configurationVersion > configuration.version) this.pullConfiguration(heartbeat);
+    if (registrations.needsPeer(heartbeat.serverVersion)) this.pullRegistrations(heartbeat);
+  }
+
+  private pullConfiguration({ id, address }: Heartbeat): void {
+    const { clients, configuration } = this.services;
+    this.pull('configuration', id, async (signal) => {
+      const copy = await clients.to(address).configuration.query(undefined, { signal });
+      if (copy) configuration.offer(Buffer.from(copy.value, 'base64'), id);
+    });
+  }
+
+  private pullRegistrations({ id, address }: Heartbeat): void {
+    const { clients, registrations } = this.services;
+    this.pull('registrations', id, async (signal) => {
+      registrations.offer(await clients.to(address).registrations.query(undefined, { signal }), id);
+    });
+  }
+
+  /** One pull of a kind at a time: every heartbeat asks for the same. */
+  private pull(kind: string, peer: string, take: (signal: AbortSignal) => Promise<void>): void {
+    if (this.pulls.has(kind)) return;
+    this.pulls.add(kind);
+    take(AbortSignal.timeout(PULL_TIMEOUT_MS))
+      .catch((error: unknown) =>
+        this.services.logger.info('pull from peer failed', { kind, peer, error }),
+      )
+      .finally(() => this.pulls.delete(kind));
+  }
+
+  private async write(value: Buffer | undefined, isOver: () => boolean): Promise<void> {
+    const { feed, table, own, logger } = this.services;
+    for (;;) {
+      const result = await feed.write(table, own.id, value, { timeoutMs: WRITE_TIMEOUT_MS });
+      if (result.ok) return;
+      logger.warn('member row not written', { error: result.error });
+      if (isOver()) return;
+      await sleep(WRITE_RETRY_MS);
+    }
+  }
+}
+
+function parseJson(value: Buffer): unknown {
+  try {
+    return JSON.parse(value.toString('utf8'));
+  } catch {
+    // The schema check that follows rejects it.
+    return undefined;
+  }
+}
--- a/src/serving/peers/PeerClients.ts
+++ b/src/serving/peers/PeerClients.ts
@@ -41,6 +41,10 @@
     return client;
   }
 
+  dispose(): void {
+    this.channels.forEach((channel) => channel.close());
+  }
+
   /** Closes the connection for stage orders to a peer that is silent; its orders end as lost. */
   dropChannel({ channel, incarnation }: Heartbeat): void {
     this.channels.get(`${channel}/${incarnation}`)?.close();
--- a/src/serving/peers/PeerMessages.ts
+++ b/src/serving/peers/PeerMessages.ts
@@ -16,6 +16,8 @@
   /** True if the process stops; it gets no new work. */
   isLeaving: z.boolean(),
   configurationVersion: z.number(),
+  /** Version of the store up to which the sender knows the backend servers; -1 for none. */
+  serverVersion: z.number(),
   /** Time in which everything that waits could be started, by stage service, in ms. */
   backlogs: z.record(z.string(), z.number()),
   /** Own requests at each engine: running, and prompt tokens not read yet. */
@@ -61,6 +63,13 @@
   readonly outcome: TaskOutcome;
 }
 
+/** All registrations of backend servers that a process knows, as they stand in the store. */
+export interface RegistrationCopy {
+  readonly version: number;
+  /** Keys and base64 values of the rows. */
+  readonly rows: readonly (readonly [string, string])[];
+}
+
 /** The newest configuration that a process holds, as it stands in the store. */
 export interface ConfigurationCopy {
   readonly version: number;
--- a/src/serving/peers/PeerRouter.ts
+++ b/src/serving/peers/PeerRouter.ts
@@ -1,12 +1,13 @@
 /** tRPC router by which serving processes call each other, for calls that are rare. */
 import { initTRPC } from '@trpc/server';
-import type { ConfigurationCopy } from './PeerMessages.js';
+import type { ConfigurationCopy, RegistrationCopy } from './PeerMessages.js';
 
 const { router, procedure } = initTRPC.create();
 
 /** What carries out the calls of peers. */
 export interface PeerService {
   configuration(): ConfigurationCopy | undefined;
+  registrations(): RegistrationCopy;
 }
 
 /**
@@ -14,7 +15,10 @@
  * @returns router to serve under the tRPC path
  */
 export function createPeerRouter(service: PeerService) {
-  return router({ configuration: procedure.query(() => service.configuration()) });
+  return router({
+    configuration: procedure.query(() => service.configuration()),
+    registrations: procedure.query(() => service.registrations()),
+  });
 }
 
 /** Type of the router, for typed clients. */
--- a/src/storage/RowFeed.ts
+++ b/src/storage/RowFeed.ts
@@ -37,4 +37,6 @@
     value: Buffer | undefined,
     options: CallOptions,
   ): Promise<PlatformResult<void>>;
+  /** Ends calls in progress. */
+  close(): Promise<void>;
 }
