Refuse streams that their callers would leave; poll the store half as often

Stages now expire by that time, and a task behind more work than can be done before its expiry ends at once.

Waits are 1.8 to 3 s now, at different times in each process, and processes tell each other by heartbeat what they know of configuration and registrations.

Also: tests take their ports as the launcher does. One run failed with EADDRINUSE on a port that another test's connection had taken; and a process that was disposed of before its row was written kept running.

--- a/src/common/serving/StageQueue.ts
+++ b/src/common/serving/StageQueue.ts
@@ -183,13 +183,23 @@
     return cycles * this.callMs(batchSize);
   }
 
-  /** @returns tasks that can no longer end in time; they are forgotten */
+  /**
+   * Tasks behind more work than can be done before their expiry end at once, not when it is over.
+   * @returns tasks that can't end in time; they are forgotten
+   */
   takeExpired(): TaskEnd[] {
     const now = this.clock.now();
-    const shortestMs = this.capacity.callMs;
-    return [...this.tasks.values()]
-      .filter(({ task, waiting }) => waiting.size > 0 && now + shortestMs > task.expiresAt)
-      .map(({ taskId }) => this.end(taskId, { kind: 'expired' }));
+    const healthy = [...this.servers.values()].filter((state) => state.isHealthy(now)).length;
+    const piecesPerMs =
+      (Math.max(1, healthy) * this.capacity.batchSize) / this.callMs(this.capacity.batchSize);
+    let ahead = 0;
+    const expired = this.inOrder(now).filter(({ task, waiting }) => {
+      const startsInMs = ahead / piecesPerMs;
+      const isExpired = now + startsInMs + this.capacity.callMs > task.expiresAt;
+      if (!isExpired) ahead += waiting.size;
+      return isExpired;
+    });
+    return expired.map(({ taskId }) => this.end(taskId, { kind: 'expired' }));
   }
 
   /** @returns calls to make now; their servers count as busy until {@link finishCall} */
--- a/src/serving/CallerRequest.ts
+++ b/src/serving/CallerRequest.ts
@@ -22,6 +22,8 @@
   readonly receivedAt: number;
   /** End of the time that the caller or the route gives, on the clock. */
   readonly deadlineAt: number;
+  /** Time after which the caller has left if nothing was answered, on the clock. */
+  readonly usefulUntil: number;
   /** Time by which the answer, or its first event, meets the latency objective, on the clock. */
   readonly dueAt: number;
   /** 0 is the most urgent. */
--- a/src/serving/Ingress.ts
+++ b/src/serving/Ingress.ts
@@ -150,6 +150,7 @@
       configurationVersion: routes.version,
       receivedAt,
       deadlineAt,
+      usefulUntil: Math.min(deadlineAt, receivedAt + patienceOf(route)),
       dueAt: receivedAt + route.objectiveMs - CALLER_LINK_MS,
       priority: account?.priority ?? route.priority,
       cancellation,
@@ -238,3 +239,15 @@
 
 /** Round trip between callers and the entry, in ms, which counts against the objective. */
 const CALLER_LINK_MS = 8;
+
+/** Callers leave a stream without events after the longest of these times. */
+const STREAM_PATIENCE_MS = 2000;
+const OBJECTIVES_WAITED = 4;
+const GAPS_WAITED = 8;
+
+/** @returns time that callers wait for a first answer, in ms */
+function patienceOf({ kind, objectiveMs, maxEventGapMs }: Route): number {
+  if (kind !== 'streaming') return Infinity;
+  const gapsMs = (maxEventGapMs ?? 0) * GAPS_WAITED;
+  return Math.max(STREAM_PATIENCE_MS, objectiveMs * OBJECTIVES_WAITED, gapsMs) - CALLER_LINK_MS;
+}
--- a/src/serving/RegistrationView.ts
+++ b/src/serving/RegistrationView.ts
@@ -1,8 +1,18 @@
+import murmurhash from 'murmurhash';
+import type { Clock } from '../common/time/Types.js';
 import type { ServerDirectory } from '../common/serving/ServerDirectory.js';
 import type { FeedRow } from '../storage/RowFeed.js';
 import type { Logger } from '../telemetry/Logger.js';
 import type { RowDecoder } from './Types.js';
-import type { RegistrationCopy } from './peers/PeerMessages.js';
+import type { Heartbeat, RegistrationCopy } from './peers/PeerMessages.js';
+
+/** Time in which the store itself tells of a change that a peer knows, in ms. */
+const STORE_PATIENCE_MS = 600;
+
+const DIGEST_RANGE = 2 ** 32;
+
+/** What a heartbeat says of the registrations that its sender knows. */
+type PeerKnowledge = Pick<Heartbeat, 'serverVersion' | 'serverDigest'>;
 
 /**
  * Registrations of backend servers as the store has them. A process that the store does not answer
@@ -15,7 +25,12 @@
 
   private isStoreLost = true;
 
+  private rowsDigest = 0;
+
+  private behindSince: number | undefined;
+
   constructor(
+    private readonly clock: Clock,
     private readonly directory: ServerDirectory,
     private readonly decoder: RowDecoder,
     private readonly logger: Logger,
@@ -33,9 +48,21 @@
     return { version: this.newestVersion, rows };
   }
 
-  /** True if a peer knows more and the store does not answer. */
-  needsPeer(peerVersion: number): boolean {
-    return this.isStoreLost && peerVersion > this.newestVersion;
+  /** Hash of the registrations; equal if two processes know the same ones. */
+  get digest(): number {
+    return this.rowsDigest;
+  }
+
+  /**
+   * Tells whether a peer knows registrations that this process lacks. While the store seems to
+   * answer, its own word is waited for: a change reaches processes at slightly different times.
+   */
+  needsPeer({ serverVersion, serverDigest }: PeerKnowledge): boolean {
+    const isBehind = serverVersion > this.newestVersion && serverDigest !== this.rowsDigest;
+    if (!isBehind) this.behindSince = undefined;
+    else this.behindSince ??= this.clock.now();
+    const behindMs = this.clock.now() - (this.behindSince ?? Infinity);
+    return isBehind && (this.isStoreLost || behindMs > STORE_PATIENCE_MS);
   }
 
   markStoreReachable(): void {
@@ -55,6 +82,7 @@
       if (value) this.rows.set(key, value);
       else this.rows.delete(key);
     });
+    if (rows.length > 0) this.updateDigest();
     this.directory.apply(rows.map((row) => this.decode(row)));
     if (rows.length > 0) this.onApplied();
   }
@@ -64,18 +92,25 @@
     this.rows.clear();
     this.newestVersion = version;
     rows.forEach(({ key, value }) => value && this.rows.set(key, value));
+    this.updateDigest();
     this.directory.replaceAll(rows.map((row) => this.decode(row)));
     this.onApplied();
   }
 
   /** Takes the registrations of a peer if they are newer and still needed. */
   offer({ version, rows }: RegistrationCopy, peerId: string): void {
-    if (!this.needsPeer(version)) return;
+    if (version <= this.newestVersion) return;
     this.logger.info('registrations taken from a peer', { peer: peerId, version });
     const decoded = rows.map(([key, value]) => ({ key, value: Buffer.from(value, 'base64') }));
     this.replaceAll(decoded, version);
   }
 
+  private updateDigest(): void {
+    const parts = [...this.rows].map(([key, value]) => murmurhash.v3(`${key}=${value.toString()}`));
+    // The order of rows differs between processes, so their hashes are added up.
+    this.rowsDigest = parts.reduce((sum, part) => (sum + part) % DIGEST_RANGE, 0);
+  }
+
   private decode({ key, value }: FeedRow) {
     if (!value) return { id: key };
     const decoded = this.decoder.registration(key, value);
--- a/src/serving/RequestRunner.ts
+++ b/src/serving/RequestRunner.ts
@@ -100,7 +100,7 @@
     );
     const backlogMs = Math.max(0, ...needs.map(({ service }) => view.backlogOf(service)));
     const neededMs = backlogMs + stages.shortestMs(request) + FIRST_EVENT_MS;
-    const remainingMs = request.deadlineAt - clock.now();
+    const remainingMs = request.usefulUntil - clock.now();
     if (needs.length === 0 || neededMs <= remainingMs) return undefined;
     return { reason: 'stages are overloaded', retryAfterMs: neededMs - remainingMs };
   }
--- a/src/serving/ServingProcess.ts
+++ b/src/serving/ServingProcess.ts
@@ -50,8 +50,11 @@
   readonly metrics: Metrics;
 }
 
-/** Waits for changes of configuration and servers: a connection that went silent shows after it. */
-const CHANGE_WAIT_MS = 1500;
+/**
+ * Waits for changes of configuration and servers, in ms. Calls are priced; a connection that went
+ * silent shows after this time, but a peer whose own wait ended earlier tells of changes.
+ */
+const CHANGE_WAIT_MS = 3000;
 
 /** Waits for changes of the list of processes, which heartbeats confirm anyway. */
 const MEMBER_WAIT_MS = 10_000;
@@ -114,7 +117,7 @@
     this.clients = new PeerClients(logger);
     this.directory = new ServerDirectory(clock);
     this.configuration = new ConfigurationView(parts.decoder, logger);
-    this.registrations = new RegistrationView(this.directory, parts.decoder, logger, () =>
+    this.registrations = new RegistrationView(clock, this.directory, parts.decoder, logger, () =>
       this.batcher.updateServers(),
     );
     this.view = new PeerView(clock, () => this.heartbeat());
@@ -243,7 +246,7 @@
   async start(): Promise<void> {
     const { settings, names, logger } = this.parts;
     await this.peerServer.start();
-    await this.channels.listen(settings.ip, settings.internalPorts[0] + 1);
+    await this.channels.listen(settings.ip, this.channelPort);
     const readiness = endpointOf(settings.listen.readiness);
     await new Promise<void>((resolve, reject) => {
       this.readiness.once('error', reject);
@@ -297,6 +300,7 @@
   async dispose(): Promise<void> {
     clearInterval(this.directoryTimer);
     this.followers.forEach((follower) => follower.dispose());
+    this.membership.dispose();
     this.peerServer.dispose();
     this.channels.dispose();
     this.clients.dispose();
@@ -344,6 +348,11 @@
     if (this.directory.size !== before) this.batcher.updateServers();
   }
 
+  /** The last of the internal ports; the first serves calls, heartbeats and metrics. */
+  private get channelPort(): number {
+    return this.parts.settings.internalPorts[1];
+  }
+
   private get peerAddress(): string {
     const { ip, internalPorts } = this.parts.settings;
     return `${ip}:${internalPorts[0]}`;
@@ -361,11 +370,12 @@
       id: settings.id,
       incarnation: this.incarnation,
       address: this.peerAddress,
-      channel: `${settings.ip}:${settings.internalPorts[0] + 1}`,
+      channel: `${settings.ip}:${this.channelPort}`,
       weight: this.batchingWeight,
       isLeaving: this.isStopping,
       configurationVersion: this.configuration.version,
       serverVersion: this.registrations.version,
+      serverDigest: this.registrations.digest,
       backlogs: Object.fromEntries(this.batcher.backlogs()),
       engines: this.records.engineLoads(),
     };
--- a/src/serving/StageRunner.ts
+++ b/src/serving/StageRunner.ts
@@ -125,6 +125,7 @@
     const { service, resultBytes } = ready.definition;
     const laterMs = this.laterMs(graph, ready.stage);
     const { pieceKey } = request.attributes;
+    const shortestLaterMs = this.shortestLaterMs(graph, ready.stage);
     const outcome = await stages.run(
       service,
       {
@@ -139,7 +140,7 @@
         ...(preferredDomain !== undefined && { preferredDomain }),
         priority: request.priority,
         dueAt: request.dueAt - laterMs,
-        expiresAt: request.deadlineAt - FIRST_EVENT_MS,
+        expiresAt: request.usefulUntil - FIRST_EVENT_MS - shortestLaterMs,
       },
       cancellation,
     );
@@ -156,6 +157,11 @@
     );
   }
 
+  private shortestLaterMs(graph: StageGraph, stage: number): number {
+    const [, ...later] = graph.remainingServices(stage);
+    return later.reduce((sum, service) => sum + this.callMs(service), 0);
+  }
+
   private callMs(service: string): number {
     return this.services.table()?.service(service)?.stage?.callMs ?? 0;
   }
--- a/src/serving/TableFollower.ts
+++ b/src/serving/TableFollower.ts
@@ -6,6 +6,9 @@
 /** Time that a read of the store may take, in ms. The store answers in a few. */
 const READ_TIMEOUT_MS = 1000;
 
+/** Shortest wait for a change, as a share of the longest. */
+const MIN_WAIT_SHARE = 0.6;
+
 /** Pauses after failed calls, in ms. Calls are counted and limited, so they grow. */
 const FIRST_PAUSE_MS = 100;
 const MAX_PAUSE_MS = 800;
@@ -69,9 +72,11 @@
   }
 
   private async readChanges(): Promise<PlatformError | undefined> {
-    const { feed, table, waitMs, listener, logger } = this.options;
-    const timeoutMs = waitMs + READ_TIMEOUT_MS;
-    const result = await feed.changes(table, this.version!, { waitMs, timeoutMs });
+    const { feed, table, waitMs, listener, logger, random } = this.options;
+    // Processes whose waits end at different times tell each other of changes in between.
+    const ownWaitMs = Math.round(waitMs * (MIN_WAIT_SHARE + random() * (1 - MIN_WAIT_SHARE)));
+    const timeoutMs = ownWaitMs + READ_TIMEOUT_MS;
+    const result = await feed.changes(table, this.version!, { waitMs: ownWaitMs, timeoutMs });
     if (!result.ok) return result.error;
     listener.onReachable();
     if (result.value.kind === 'history-lost') {
--- a/src/serving/peers/Membership.ts
+++ b/src/serving/peers/Membership.ts
@@ -63,6 +63,11 @@
     await this.write(Buffer.from(JSON.stringify(this.services.own)), () => this.isLeaving);
   }
 
+  /** Writes nothing more. */
+  dispose(): void {
+    this.isLeaving = true;
+  }
+
   /** Removes the own row; given up after the first try that fails. */
   async withdraw(): Promise<void> {
     this.isLeaving = true;
@@ -76,7 +81,7 @@
     // A peer may be known by its heartbeat before its row is read.
     if (!this.members.has(heartbeat.id)) this.members.set(heartbeat.id, heartbeat.address);
     if (heartbeat.configurationVersion > configuration.version) this.pullConfiguration(heartbeat);
-    if (registrations.needsPeer(heartbeat.serverVersion)) this.pullRegistrations(heartbeat);
+    if (registrations.needsPeer(heartbeat)) this.pullRegistrations(heartbeat);
   }
 
   private pullConfiguration({ id, address }: Heartbeat): void {
--- a/src/serving/peers/PeerMessages.ts
+++ b/src/serving/peers/PeerMessages.ts
@@ -18,6 +18,8 @@
   configurationVersion: z.number(),
   /** Version of the store up to which the sender knows the backend servers; -1 for none. */
   serverVersion: z.number(),
+  /** Tells whether two processes know the same registrations. */
+  serverDigest: z.number(),
   /** Time in which everything that waits could be started, by stage service, in ms. */
   backlogs: z.record(z.string(), z.number()),
   /** Own requests at each engine: running, and prompt tokens not read yet. */
