--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -1,6 +1,16 @@
 import { configs, plugins } from 'eslint-config-airbnb-extended';
 import prettier from 'eslint-config-prettier';
 
+/** Headers, calls and fields of the platform that mean nothing elsewhere. */
+const PLATFORM_NAMES = [
+  'citronstage-(attempt|response-seal|deadline-ms|expect|pieces|piece-key|inputs|token|prompt-prefix|tenant|not-executed|server-load|request-urgency|pin-ms|hold|kv)',
+  '^kv-(from|fetch)$',
+  'stage-(run|free)$',
+  'rows-(get|tx|feed|parts)',
+  'blob-(put|get|drop|list)',
+  '^(row_version|has_more|traffic_split|target_latency_ms|api_keys|max_gap_ms|kv_tokens|headroom_mb|remaining_ms)$',
+].join('|');
+
 export default [
   { ignores: ['target/**', 'node_modules/**', 'out/**'] },
   plugins.stylistic,
@@ -51,6 +61,25 @@
     },
     languageOptions: { parserOptions: { projectService: true } },
   },
+  {
+    // The platform's names of headers, calls and fields are translated in platform/ only.
+    files: ['src/**/*.ts'],
+    rules: {
+      'no-restricted-syntax': [
+        'error',
+        { selector: 'ForInStatement', message: 'Use Object.entries with for...of.' },
+        { selector: 'WithStatement', message: 'with is not allowed.' },
+        {
+          selector: `Literal[value=/${PLATFORM_NAMES}/i], TemplateElement[value.raw=/${PLATFORM_NAMES}/i]`,
+          message: "Names of the platform's protocol belong into platform/.",
+        },
+      ],
+      'no-restricted-imports': [
+        'error',
+        { patterns: [{ group: ['**/../platform/*'], message: 'src/ does not depend on platform/.' }] },
+      ],
+    },
+  },
   {
     files: ['**/*.test.ts'],
     rules: { '@typescript-eslint/no-floating-promises': 'off', 'max-lines': 'off' },
--- a/src/serving/ServingProcess.ts
+++ b/src/serving/ServingProcess.ts
@@ -133,10 +133,7 @@
     });
     const { connections } = this;
     const shared = { clock, logger, protocol, connections, directory: this.directory, table };
-    this.batcher = new StageBatcher({
-      ...shared,
-      mayRepeat: (service) => budgets.of(service).trySpend(),
-    });
+    this.batcher = new StageBatcher({ ...shared, budgets });
     const stageClient = new StageClient({
       ownId: settings.id,
       clock,
--- a/src/serving/StageBatcher.ts
+++ b/src/serving/StageBatcher.ts
@@ -14,6 +14,7 @@
 import type { BackendServer } from '../common/serving/ServingConfiguration.js';
 import type { Logger } from '../telemetry/Logger.js';
 import { bufferedCall } from './BufferedCall.js';
+import type { ServiceBudgets } from './ServiceBudgets.js';
 import type { Connections } from './Connections.js';
 import type { ServingProtocol } from './Types.js';
 
@@ -69,8 +70,8 @@
   readonly protocol: ServingProtocol;
   /** @returns routes and services in force */
   readonly table: () => RouteTable | undefined;
-  /** @returns true if a piece of the service may be sent once more */
-  readonly mayRepeat: (service: string) => boolean;
+  /** Repeats of pieces are bounded by the requests for their service. */
+  readonly budgets: ServiceBudgets;
 }
 
 /** Sends the pieces of stages to their backend servers in batches. One actor owns the queues. */
@@ -183,6 +184,7 @@
       onEnd({ kind: 'failed' });
       return;
     }
+    this.services.budgets.of(service).noteRequest();
     const preferredDomain = this.inputDomainOf(task) ?? task.preferredDomain;
     const taskId = queue.add({
       ...task,
@@ -223,7 +225,7 @@
     const capacity = this.services.table()?.service(service)?.stage;
     if (!capacity) return undefined;
     const queue = new StageQueue(this.services.clock, capacity, () =>
-      this.services.mayRepeat(service),
+      this.services.budgets.of(service).trySpend(),
     );
     queue.updateServers(this.services.directory.usable(service));
     this.queues.set(service, queue);
