Batch on ample instances only; make planning cheaper under a backlog

Processes with less than half of the largest weight now batch only if no other is left; results' memory is summed as it changes; tasks are ordered once a plan.

--- a/src/common/serving/StageQueue.ts
+++ b/src/common/serving/StageQueue.ts
@@ -207,11 +207,14 @@
     const now = this.clock.now();
     const healthy = [...this.servers.values()].filter((state) => state.isHealthy(now));
     const planned: PlannedCall[] = [];
-    for (;;) {
-      const call = this.planOne(healthy, now);
-      if (!call) return planned;
+    let entries = this.inOrder(now);
+    while (entries.length > 0) {
+      const call = this.planOne(entries, healthy, now);
+      if (!call) break;
       planned.push(call);
+      entries = entries.filter(({ waiting }) => waiting.size > 0);
     }
+    return planned;
   }
 
   /** @returns time at which {@link plan} may start more calls without any event, on the clock */
@@ -219,11 +222,14 @@
     return this.waitingPieces > 0 ? this.pace.nextStartAt : undefined;
   }
 
-  private planOne(healthy: readonly StageServer[], now: number): PlannedCall | undefined {
+  private planOne(
+    entries: readonly WaitingTask[],
+    healthy: readonly StageServer[],
+    now: number,
+  ): PlannedCall | undefined {
     const { concurrentCalls } = this.capacity;
     const free = healthy.filter((state) => state.isFree(now, concurrentCalls));
-    if (free.length === 0 || this.tasks.size === 0) return undefined;
-    const entries = this.inOrder(now);
+    if (free.length === 0) return undefined;
     const waiting = entries.reduce((sum, entry) => sum + entry.waiting.size, 0);
     const isFull = waiting >= this.capacity.batchSize;
     const load = { now, servers: healthy.length, free: free.length };
--- a/src/common/serving/StageServer.ts
+++ b/src/common/serving/StageServer.ts
@@ -32,6 +32,8 @@
 
   private readonly results = new Map<string, HeldResult>();
 
+  private heldBytes = 0;
+
   private failures = 0;
 
   private pausedUntil = -Infinity;
@@ -58,11 +60,8 @@
 
   /** @returns memory of results made and to be made, in bytes */
   usedBytes(now: number): number {
-    let sum = 0;
-    this.results.forEach(({ bytes, retainedUntil }, handle) => {
-      if (retainedUntil <= now) this.results.delete(handle);
-      else sum += bytes;
-    });
+    this.dropExpired(now);
+    let sum = this.heldBytes;
     this.calls.forEach(({ bytes }) => {
       sum += bytes;
     });
@@ -104,10 +103,24 @@
 
   hold(handle: string, result: HeldResult): void {
     this.results.set(handle, result);
+    this.heldBytes += result.bytes;
   }
 
   release(handles: readonly string[]): void {
-    handles.forEach((handle) => this.results.delete(handle));
+    handles.forEach((handle) => this.drop(handle));
+  }
+
+  /** Results expire in the order in which they were made. */
+  private dropExpired(now: number): void {
+    for (const [handle, { retainedUntil }] of this.results) {
+      if (retainedUntil > now) return;
+      this.drop(handle);
+    }
+  }
+
+  private drop(handle: string): void {
+    this.heldBytes -= this.results.get(handle)?.bytes ?? 0;
+    this.results.delete(handle);
   }
 
   private pause(now: number): void {
--- a/src/serving/peers/PeerView.ts
+++ b/src/serving/peers/PeerView.ts
@@ -8,6 +8,9 @@
 /** A process whose call failed gets no new work until its next heartbeat but one, in ms. */
 const AVOIDANCE_MS = 500;
 
+/** Processes with less than this share of the largest weight batch only if no other is left. */
+const AMPLE_SHARE = 0.5;
+
 interface Peer {
   heartbeat: Heartbeat;
   heardAt: number;
@@ -78,7 +81,10 @@
     );
     const own = this.own();
     if (!own.isLeaving) candidates.push(own);
-    return rankByHash(candidates, service)[0] ?? own;
+    const largest = Math.max(...candidates.map(({ weight }) => weight));
+    // By weight alone a small instance would still be first for some services, and too slow.
+    const ample = candidates.filter(({ weight }) => weight >= largest * AMPLE_SHARE);
+    return rankByHash(ample, service)[0] ?? own;
   }
 
   /** @returns time in which everything that waits for the service could be started, in ms */
