--- a/src/bin/citronstage-agent.ts
+++ b/src/bin/citronstage-agent.ts
@@ -1,5 +1,5 @@
 #!/usr/bin/env node
-/* eslint n/hashbang: "off" -- package.json names the compiled file in dist */
+/* eslint n/hashbang: "off" -- package.json names the compiled file in target */
 /** Entry point of the agent process. */
 // Before all others, because it acts while these are loaded.
 // eslint-disable-next-line import-x/order
--- a/src/bin/citronstage-standin.ts
+++ b/src/bin/citronstage-standin.ts
@@ -1,5 +1,5 @@
 #!/usr/bin/env node
-/* eslint n/hashbang: "off" -- package.json names the compiled file in dist */
+/* eslint n/hashbang: "off" -- package.json names the compiled file in target */
 /** Runs stand-ins of the platform and of backend servers, for development and tests. */
 import { readFileSync } from 'node:fs';
 import yargs from 'yargs';
