--- a/src/common/serving/ServerChoice.ts
+++ b/src/common/serving/ServerChoice.ts
@@ -14,9 +14,6 @@
 /** The share of failures halves in this time without results, so that a server is tried again. */
 const FAILURE_HALF_LIFE_MS = 3000;
 
-/** Weight of the newest duration in the mean service time. */
-const DURATION_GAIN = 0.1;
-
 interface ServerRecord {
   running: number;
   /** Prompt tokens of requests that have not sent their first event. */
@@ -25,14 +22,13 @@
   avoidedUntil: number;
   failureShare: number;
   failureShareAt: number;
-  meanMs: number;
 }
 
 /** How a request ended at a server, as far as it tells about the server. */
 export type ServerSignal = 'succeeded' | 'failed' | 'unreachable' | 'full';
 
 /**
- * Own knowledge of backend servers: outstanding work, failures, durations.
+ * Own knowledge of backend servers: outstanding work and failures.
  *
  * Answers this load pattern: servers that fail a part of their requests, crash or go silent while
  * their registration still says that they are ready.
@@ -57,7 +53,7 @@
     this.recordOf(serverId).running -= 1;
   }
 
-  note(serverId: string, signal: ServerSignal, durationMs = 0): void {
+  note(serverId: string, signal: ServerSignal): void {
     const record = this.recordOf(serverId);
     const now = this.clock.now();
     if (signal === 'unreachable') {
@@ -66,10 +62,7 @@
       record.avoidedUntil = now + length;
       return;
     }
-    if (signal === 'succeeded') {
-      record.failures = 0;
-      record.meanMs += DURATION_GAIN * (durationMs - record.meanMs);
-    }
+    if (signal === 'succeeded') record.failures = 0;
     const share = this.failureShare(record, now);
     const newest = signal === 'succeeded' ? 0 : 1;
     record.failureShare = share + FAILURE_GAIN * (newest - share);
@@ -123,7 +116,6 @@
       avoidedUntil: -Infinity,
       failureShare: 0,
       failureShareAt: 0,
-      meanMs: 0,
     };
     this.records.set(serverId, record);
     return record;
--- a/src/serving/Ingress.ts
+++ b/src/serving/Ingress.ts
@@ -28,6 +28,17 @@
 /** Retry-After while no configuration is known, in ms: a process learns it in about a second. */
 const NO_CONFIGURATION_RETRY_MS = 1000;
 
+/** Connections that wait to be accepted; a burst of callers connects at once. */
+const LISTEN_BACKLOG = 1024;
+
+/** Round trip between callers and the entry, in ms, which counts against the objective. */
+const CALLER_LINK_MS = 8;
+
+/** Callers leave a stream without events after the longest of these times. */
+const STREAM_PATIENCE_MS = 2000;
+const OBJECTIVES_WAITED = 4;
+const GAPS_WAITED = 8;
+
 /** What {@link Ingress} needs of its surroundings. */
 export interface IngressServices {
   readonly clock: Clock;
@@ -234,17 +245,6 @@
   }
 }
 
-/** Connections that wait to be accepted; a burst of callers connects at once. */
-const LISTEN_BACKLOG = 1024;
-
-/** Round trip between callers and the entry, in ms, which counts against the objective. */
-const CALLER_LINK_MS = 8;
-
-/** Callers leave a stream without events after the longest of these times. */
-const STREAM_PATIENCE_MS = 2000;
-const OBJECTIVES_WAITED = 4;
-const GAPS_WAITED = 8;
-
 /** @returns time that callers wait for a first answer, in ms */
 function patienceOf({ kind, objectiveMs, maxEventGapMs }: Route): number {
   if (kind !== 'streaming') return Infinity;
--- a/src/serving/RequestRunner.ts
+++ b/src/serving/RequestRunner.ts
@@ -14,6 +14,7 @@
 import type { PeerView } from './peers/PeerView.js';
 import { Progress } from './Progress.js';
 import type { ServiceBudgets } from './ServiceBudgets.js';
+import type { ServingMetrics } from './ServingMetrics.js';
 
 /** Sends of one request, failed connections included. */
 const MAX_SENDS = 6;
@@ -34,7 +35,7 @@
 /** What {@link RequestRunner} needs of its surroundings. */
 export interface RunnerServices extends ForwardServices {
   readonly logger: Logger;
-  readonly ownId: string;
+  readonly metrics: ServingMetrics;
   readonly failureDomain: string;
   readonly directory: ServerDirectory;
   readonly records: ServerRecords;
@@ -153,6 +154,7 @@
       const hasNotRun = outcome.kind === 'unsent' || outcome.kind === 'not-executed';
       if (hasNotRun && progress.runs === 0) request.trace.mark(false);
       progress.noteOutcome(outcome);
+      this.services.metrics.forwardEnded(service, outcome.kind);
       this.log(request, server, outcome, progress);
       const handler = this.handlers[outcome.kind] as (
         value: CallerRequest,
@@ -208,7 +210,6 @@
     const { promptParts } = request.attributes;
     const tokens = placement.missingTokens(server.id, promptParts);
     if (promptParts.length > 0) placement.noteParts(server.id, promptParts);
-    const startedAt = clock.now();
     records.begin(server.id, tokens);
     let isPrefilled = false;
     const markPrefilled = once(() => records.markPrefilled(server.id, tokens));
@@ -220,7 +221,7 @@
     });
     try {
       const outcome = await this.send(request, server, order);
-      this.judge(server, outcome, clock.now() - startedAt);
+      this.judge(server, outcome);
       return outcome;
     } finally {
       markPrefilled();
@@ -272,7 +273,7 @@
     };
   }
 
-  private judge(server: BackendServer, outcome: ForwardOutcome, durationMs: number): void {
+  private judge(server: BackendServer, outcome: ForwardOutcome): void {
     const { records } = this.services;
     const signals = {
       answered: 'succeeded',
@@ -284,7 +285,7 @@
       cancelled: undefined,
     } as const;
     const signal = signals[outcome.kind];
-    if (signal) records.note(server.id, signal, durationMs);
+    if (signal) records.note(server.id, signal);
   }
 
   private repeatOrFail(request: CallerRequest, progress: Progress, cause: string): Continuation {
--- a/src/serving/ServingProcess.ts
+++ b/src/serving/ServingProcess.ts
@@ -143,11 +143,16 @@
       view: this.view,
     });
     const servingMetrics = new ServingMetrics(metrics);
-    const stages = new StageRunner({ clock, stages: stageClient, table });
+    const stages = new StageRunner({
+      clock,
+      stages: stageClient,
+      metrics: servingMetrics,
+      table,
+    });
     const placement = new EnginePlacement(clock, this.records);
     const runner = new RequestRunner({
       ...shared,
-      ownId: settings.id,
+      metrics: servingMetrics,
       failureDomain: settings.failureDomain,
       records: this.records,
       placement,
--- a/src/serving/StageRunner.ts
+++ b/src/serving/StageRunner.ts
@@ -5,6 +5,7 @@
 import { StageGraph, type ReadyStage } from '../common/serving/StageGraph.js';
 import type { TaskOutcome } from '../common/serving/StageQueue.js';
 import type { CallerRequest } from './CallerRequest.js';
+import type { ServingMetrics } from './ServingMetrics.js';
 import type { StageClient } from './StageClient.js';
 
 /** Time from the last stage to the first event at an engine without a queue, in ms. */
@@ -46,6 +47,7 @@
 export interface StageRunnerServices {
   readonly clock: Clock;
   readonly stages: StageClient;
+  readonly metrics: ServingMetrics;
   readonly table: () => RouteTable | undefined;
 }
 
@@ -115,7 +117,7 @@
 
   private async runStage(run: StagesRun, ready: ReadyStage): Promise<TaskOutcome> {
     const { request, graph, cancellation, engineDomain } = run;
-    const { clock, stages } = this.services;
+    const { clock, stages, metrics } = this.services;
     // Results are held until the request reads them, so a short chain starts late.
     const slackMs =
       ready.inputs.length === 0 ? graph.slackMs(ready.stage, (name) => this.callMs(name)) : 0;
@@ -126,6 +128,7 @@
     const laterMs = this.laterMs(graph, ready.stage);
     const { pieceKey } = request.attributes;
     const shortestLaterMs = this.shortestLaterMs(graph, ready.stage);
+    const startedAt = clock.now();
     const outcome = await stages.run(
       service,
       {
@@ -144,6 +147,7 @@
       },
       cancellation,
     );
+    metrics.stageEnded(service, outcome.kind, clock.now() - startedAt);
     request.trace.note(`stage${ready.stage}:${outcome.kind}`, clock.now());
     return outcome;
   }
--- a/src/serving/Types.ts
+++ b/src/serving/Types.ts
@@ -50,7 +50,6 @@
   readonly isEncoded: boolean;
   /** True if the end of the body is marked by a length or chunks. */
   readonly isFramed: boolean;
-  readonly closesConnection: boolean;
 }
 
 /** A call that the system makes of its own. */
