Keep the inputs of a stream that may go on elsewhere until its end

Inputs are now freed at the first event only if the request can't move. A server that lacks inputs ends the tries: no other one has them.

--- a/src/serving/RequestRunner.ts
+++ b/src/serving/RequestRunner.ts
@@ -19,6 +19,9 @@
 /** Sends of one request, failed connections included. */
 const MAX_SENDS = 6;
 
+/** Status of a server that does not find the results that a request reads. */
+const INPUTS_GONE_STATUS = 409;
+
 /** Retry-After of requests that met no usable server, in ms: servers return in about a second. */
 const NO_SERVER_RETRY_MS = 500;
 
@@ -63,7 +66,12 @@
     answered: () => 'stop',
     cancelled: () => 'stop',
     unsent: () => 'again',
-    'not-executed': () => 'again',
+    'not-executed': (request, progress, { status }) => {
+      if (status !== INPUTS_GONE_STATUS) return 'again';
+      // No other server has them either.
+      this.giveUp(request, progress, 'inputs are gone');
+      return 'stop';
+    },
     broken: (request, progress, { cause }) => this.repeatOrFail(request, progress, cause),
     'server-error': (request, progress, { status }) =>
       this.repeatOrFail(request, progress, `status ${status}`),
@@ -217,7 +225,8 @@
       if (!isPrefilled) request.trace.note('first-event', clock.now());
       isPrefilled = true;
       markPrefilled();
-      release();
+      // A stream that may go on at another server needs its inputs there.
+      if (!this.mayMove(request)) release();
     });
     try {
       const outcome = await this.send(request, server, order);
@@ -237,7 +246,7 @@
     const { route } = request;
     const remainingMs = request.deadlineAt - this.services.clock.now();
     const silenceMs = Math.max(MIN_SILENCE_MS, route.objectiveMs * SILENCE_FACTOR);
-    const isRepeatableElsewhere = isRepeatable(request) && route.maxServers > 1;
+    const isRepeatableElsewhere = this.mayMove(request);
     if (route.kind !== 'streaming') {
       const timeoutMs = isRepeatableElsewhere ? Math.min(silenceMs, remainingMs) : remainingMs;
       return forwardPlain(this.services, request, server, order, timeoutMs);
@@ -248,6 +257,11 @@
     return new StreamForwarder(this.services, request, order, patience).forward(server);
   }
 
+  /** True if the request may run at a second server. */
+  private mayMove(request: CallerRequest): boolean {
+    return isRepeatable(request) && request.route.maxServers > 1;
+  }
+
   private orderFor(
     request: CallerRequest,
     server: BackendServer,
