Remove two queries and a field that nothing reads

Cause: found in the last reading of the change: RouteTable.stageServices, ServerDirectory.all and ForwardOrder.serverId had no caller. Ruled out: a use through tests.

--- a/src/common/serving/RouteTable.ts
+++ b/src/common/serving/RouteTable.ts
@@ -57,11 +57,6 @@
   service(name: string): ServiceDefinition | undefined {
     return this.servicesByName.get(name);
   }
-
-  /** @returns services whose backend servers work on stages */
-  stageServices(): ServiceDefinition[] {
-    return this.configuration.services.filter(({ stage }) => stage !== undefined);
-  }
 }
 
 function withoutPort(host: string): string {
--- a/src/common/serving/ServerDirectory.ts
+++ b/src/common/serving/ServerDirectory.ts
@@ -97,10 +97,6 @@
     return this.servers.size;
   }
 
-  all(): BackendServer[] {
-    return [...this.servers.values()];
-  }
-
   private put(server: BackendServer): void {
     this.removals.delete(server.id);
     const known = this.servers.get(server.id);
--- a/src/serving/ForwardOutcome.ts
+++ b/src/serving/ForwardOutcome.ts
@@ -26,7 +26,6 @@
 
 /** What a forwarder is given for one server. */
 export interface ForwardOrder {
-  readonly serverId: string;
   readonly headers: readonly string[];
   /** Called when the server's work on the prompt has ended. */
   readonly onFirstEvent?: () => void;
--- a/src/serving/RequestRunner.ts
+++ b/src/serving/RequestRunner.ts
@@ -280,7 +280,6 @@
       ...(lastEventId !== undefined && { lastEventId }),
     });
     return {
-      serverId: server.id,
       headers,
       onFirstEvent,
       ...(lastEventId !== undefined && { lastEventId }),
