Wait until a spawned agent is ready before a test uses it

Cause: the fixture returned as soon as the agent listened. An agent refuses attempts until it has read its configuration; AgentPause then delays the store by 700 ms, so an agent that starts slowly (beside load) still reads its configuration when the attempt arrives, refuses it, and the state `claiming` never comes. Ruled out: a late poll of the state. After: the agent is ready before the store is delayed; passes alone and with the other agent tests. Conclusion: a fault of the fixture.

--- a/src/agent/testing/AgentFixture.ts
+++ b/src/agent/testing/AgentFixture.ts
@@ -14,6 +14,9 @@
 
 const READY_POLL_MS = 10;
 
+/** An agent reads its configuration within a second; the rest is room for a busy machine. */
+const READY_LIMIT_MS = 10_000;
+
 /** Running stand-ins by name. */
 export interface Standins {
   /** @returns base URL of a service */
@@ -129,12 +132,18 @@
   };
 }
 
-/** Attempts are refused until the agent knows the configuration. */
-async function waitUntilReady(address: string): Promise<void> {
+/**
+ * Attempts are refused until the agent knows the configuration.
+ * @param address - agent that listens
+ * @throws Error if the agent is not ready in time
+ */
+export async function waitUntilReady(address: string): Promise<void> {
+  const giveUpAt = Date.now() + READY_LIMIT_MS;
   for (;;) {
     const { statusCode, body } = await request(`http://${address}/readyz`);
     await body.dump();
     if (statusCode === 200) return;
+    if (Date.now() >= giveUpAt) throw new Error('the agent is not ready in time');
     await sleep(READY_POLL_MS);
   }
 }
--- a/src/agent/testing/ProcessFixture.ts
+++ b/src/agent/testing/ProcessFixture.ts
@@ -5,7 +5,7 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { setTimeout as sleep } from 'node:timers/promises';
-import { settingsOf, type Standins } from './AgentFixture.js';
+import { settingsOf, waitUntilReady, type Standins } from './AgentFixture.js';
 
 const PROGRAM = new URL('../../bin/citronstage-agent.js', import.meta.url).pathname;
 
@@ -14,7 +14,7 @@
 
 /** Started agents. */
 export interface AgentProcesses {
-  /** Starts an agent and waits until it listens. */
+  /** Starts an agent and waits until it accepts attempts. */
   spawn(
     id: string,
     backend: string,
@@ -38,6 +38,7 @@
       children.push(child);
       const [line] = (await once(child.stdout, 'data')) as [Buffer];
       const { address } = JSON.parse(line.toString()) as { address: string };
+      await waitUntilReady(address);
       return { child, address };
     },
     close: async () => {
