Let a second SIGTERM wait for the requests that run

Cause: ServingProcess.stop returned at once when the process was stopping already, and the program exits when stop returns; a repeated SIGTERM thus ended the process under its callers. Ruled out: the first SIGTERM; it waits for running requests, as tested before. Before: a run of 600 ms is cut 120 ms after the second signal; the new test fails.

--- a/src/serving/ServingProcess.ts
+++ b/src/serving/ServingProcess.ts
@@ -111,6 +111,9 @@
 
   private isStopping = false;
 
+  /** Ends when no request is left, once the process was told to stop. */
+  private stopping: Promise<void> | undefined;
+
   constructor(private readonly parts: ServingParts) {
     const { clock, logger, settings, protocol, metrics } = parts;
     this.incarnation = clock.wallTime();
@@ -278,8 +281,12 @@
   }
 
   /** Stops taking requests, finishes those that run, and returns when none is left. */
-  async stop(): Promise<void> {
-    if (this.isStopping) return;
+  stop(): Promise<void> {
+    this.stopping ??= this.finishRequests();
+    return this.stopping;
+  }
+
+  private async finishRequests(): Promise<void> {
     this.isStopping = true;
     const { clock, logger, settings } = this.parts;
     const startedAt = clock.now();
