Answer requests that still run when a stopping process has to exit

Ruled out: an early exit; the process ended at the grace time less its margin. The log line "request timed out" is now "request cut short" with its reason.

--- a/src/serving/Ingress.ts
+++ b/src/serving/Ingress.ts
@@ -1,3 +1,4 @@
+import { setTimeout as sleep } from 'node:timers/promises';
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { Cancellation } from '../common/events/Cancellation.js';
 import type { RouteTable } from '../common/serving/RouteTable.js';
@@ -39,6 +40,9 @@
 const OBJECTIVES_WAITED = 4;
 const GAPS_WAITED = 8;
 
+/** Time for the answers of requests that were cut short to leave the process, in ms. */
+const LAST_ANSWERS_MS = 50;
+
 /** What {@link Ingress} needs of its surroundings. */
 export interface IngressServices {
   readonly clock: Clock;
@@ -56,6 +60,9 @@
 
   private running = 0;
 
+  /** Ends each request that has no final answer yet, for the given reason. */
+  private readonly pending = new Set<(reason: string) => void>();
+
   private nextId = 1;
 
   constructor(private readonly services: IngressServices) {
@@ -92,6 +99,12 @@
     this.server.closeIdleConnections();
   }
 
+  /** Answers what still runs: callers learn the end of their requests instead of a closed connection. */
+  async endAll(): Promise<void> {
+    [...this.pending].forEach((end) => end('stopping'));
+    await sleep(LAST_ANSWERS_MS);
+  }
+
   /** Closes everything at once. */
   dispose(): void {
     this.server.close();
@@ -134,12 +147,15 @@
     const deadlineAt = receivedAt + Math.min(route.timeoutMs, attributes.deadlineMs ?? Infinity);
     const cancellation = new Cancellation();
     const trace = new RequestTrace(receivedAt);
-    const timer = setTimeout(() => {
+    const end = (reason: string) => {
       cancellation.cancel();
-      this.timeOut(answer, trace.mayHaveRun, attributes.attemptId, route);
-    }, deadlineAt - clock.now());
+      this.cutShort(answer, { reason, mayHaveRun: trace.mayHaveRun }, attributes.attemptId, route);
+    };
+    const timer = setTimeout(end, deadlineAt - clock.now(), 'time-out');
+    this.pending.add(end);
     response.once('close', () => {
       clearTimeout(timer);
+      this.pending.delete(end);
       cancellation.cancel();
       metrics.requestEnded(route.name, response.statusCode, clock.now() - receivedAt);
       this.logEnd(response, route, attributes.attemptId, clock.now() - receivedAt, trace);
@@ -200,21 +216,22 @@
   }
 
   /** A request whose time is over is answered at once, whatever its servers do. */
-  private timeOut(
+  private cutShort(
     answer: CallerResponse,
-    mayHaveRun: boolean,
+    cause: { readonly reason: string; readonly mayHaveRun: boolean },
     attemptId: string | undefined,
     route: Route,
   ): void {
     if (answer.isFinished) return;
-    this.services.logger.info('request timed out', {
+    const { reason, mayHaveRun } = cause;
+    this.services.logger.info('request cut short', {
       request: attemptId,
       route: route.name,
+      reason,
       mayHaveRun,
       hasStarted: answer.hasStarted,
     });
-    const status = mayHaveRun ? TIMED_OUT_STATUS : NOT_RUN_STATUS;
-    answer.refuse({ status, reason: 'time-out' });
+    answer.refuse({ status: mayHaveRun ? TIMED_OUT_STATUS : NOT_RUN_STATUS, reason });
   }
 
   private refuse(answer: CallerResponse, refusal: Refusal, attemptId?: string): void {
--- a/src/serving/ServingProcess.ts
+++ b/src/serving/ServingProcess.ts
@@ -303,6 +303,7 @@
       await sleep(STOP_CHECK_MS);
     }
     logger.info('stopped', { running: this.ingress.requestsRunning });
+    await this.ingress.endAll();
   }
 
   /** Ends everything at once, as the end of the process would. */
