--- a/src/telemetry/LineSink.ts
+++ b/src/telemetry/LineSink.ts
@@ -1,10 +1,13 @@
 import { write } from 'node:fs';
+import { setTimeout as sleep } from 'node:timers/promises';
 
 /** Bytes that may wait for a slow reader; lines beyond are dropped and counted. */
 const MAX_PENDING_BYTES = 256 * 1024;
 
 const STANDARD_OUTPUT = 1;
 
+const DRAIN_POLL_MS = 5;
+
 /** Writes lines to standard output without ever blocking the process. */
 export class LineSink {
   private pending: string[] = [];
@@ -29,6 +32,15 @@
     }
   };
 
+  /**
+   * Waits until all lines are written, before the process exits.
+   * @param timeoutMs - longest time to wait for a slow reader
+   */
+  async drain(timeoutMs: number): Promise<void> {
+    const giveUpAt = performance.now() + timeoutMs;
+    while (this.isWriting && performance.now() < giveUpAt) await sleep(DRAIN_POLL_MS);
+  }
+
   private flush(): void {
     if (this.pending.length === 0) {
       this.isWriting = false;
