--- a/src/load/launch/Launcher.ts
+++ b/src/load/launch/Launcher.ts
@@ -34,7 +34,7 @@
   /**
    * Writes a settings file and prepares a process that reads it.
    * @param name - unique name of the process
-   * @param binary - file in `target/src/bin` without extension
+   * @param binary - file without extension, relative to `target/src/bin`
    * @param settings - content of the settings file
    * @param subcommand - arguments before `--config`
    * @returns process that is not started yet
--- a/src/load/launch/ManagedProcess.ts
+++ b/src/load/launch/ManagedProcess.ts
@@ -8,7 +8,7 @@
 export interface ProcessSpecification {
   /** Unique name, such as `entry-1`. */
   readonly name: string;
-  /** File in `target/src/bin` without extension. */
+  /** File without extension, relative to `target/src/bin`. */
   readonly binary: string;
   readonly arguments: readonly string[];
   /** File that gets standard error. */
@@ -77,7 +77,9 @@
 
   /** Starts the process without waiting for readiness, for starts during an outage. */
   startUnready(): void {
-    if (!this.running) this.spawnChild().stdout?.resume();
+    if (this.running) return;
+    const log = createWriteStream(this.specification.logFile, { flags: 'a' });
+    this.spawnChild().stdout!.pipe(log);
   }
 
   /**
--- a/src/load/launch/TcpRelay.ts
+++ b/src/load/launch/TcpRelay.ts
@@ -2,12 +2,15 @@
 import { connect, createServer, type AddressInfo, type Server, type Socket } from 'node:net';
 import { LOOPBACK } from './Ports.js';
 
+/** Which bytes a silent connection drops. */
+export type SilentDirection = 'both' | 'requests' | 'answers';
+
 /** A pair of sockets. */
 interface Connection {
   readonly near: Socket;
   readonly far: Socket;
-  /** Drops all bytes in both directions and never closes. */
-  silent: boolean;
+  /** Drops bytes and never closes if set. */
+  silent: SilentDirection | undefined;
   /** Monotonic time of the last transfer; the connection carries an exchange if it is recent. */
   activeAt: number;
   /** Gets the answers; another connection's near side after two were crossed. */
@@ -29,6 +32,9 @@
 
   private readonly server: Server;
 
+  /** `ip:port` of the relay while it listens. */
+  address = '';
+
   /** Added to every transfer in each direction, in milliseconds. */
   delayMs = 0;
 
@@ -63,16 +69,18 @@
     await new Promise<void>((resolve) => {
       this.server.listen(port, LOOPBACK, resolve);
     });
-    return `${LOOPBACK}:${(this.server.address() as AddressInfo).port}`;
+    this.address = `${LOOPBACK}:${(this.server.address() as AddressInfo).port}`;
+    return this.address;
   }
 
   /**
    * Makes all open connections silent for good; new ones work.
+   * @param direction - bytes to drop
    * @returns number of connections made silent
    */
-  silence(): number {
+  silence(direction: SilentDirection = 'both'): number {
     const open = [...this.connections].filter((connection) => !connection.silent);
-    open.forEach((connection) => Object.assign(connection, { silent: true }));
+    open.forEach((connection) => Object.assign(connection, { silent: direction }));
     this.silenced += open.length;
     return open.length;
   }
@@ -107,6 +115,23 @@
     return 2 * pairs;
   }
 
+  /** Ends delays and refusals; connections that are silent stay so. */
+  heal(): void {
+    this.refusing = false;
+    this.delayMs = 0;
+  }
+
+  /** @param delayMs - added to every transfer in each direction */
+  slow(delayMs: number): void {
+    this.delayMs = delayMs;
+  }
+
+  /** Closes all connections, and new ones at once until the relay is healed. */
+  refuse(): void {
+    this.refusing = true;
+    this.cutAll();
+  }
+
   /** Closes listener and connections. */
   async dispose(): Promise<void> {
     const closed = new Promise<void>((resolve) => {
@@ -123,18 +148,18 @@
     }
     const [host, port] = this.target.split(':');
     const far = connect(Number(port), host);
-    const connection = { near, far, silent: false, activeAt: 0, receiver: near };
+    const connection: Connection = { near, far, silent: undefined, activeAt: 0, receiver: near };
     this.connections.add(connection);
     near.on('data', (bytes) => {
       connection.activeAt = performance.now();
-      this.send(connection, far, bytes);
+      this.send(connection, 'requests', bytes);
     });
     far.on('data', (bytes) => {
       connection.activeAt = performance.now();
-      this.send(connection, connection.receiver, bytes);
+      this.send(connection, 'answers', bytes);
       if (this.repeating && WHOLE_CHUNK.test(bytes.toString('latin1'))) {
         this.repeated += 1;
-        this.send(connection, connection.receiver, bytes);
+        this.send(connection, 'answers', bytes);
       }
     });
     [near, far].forEach((socket) => {
@@ -146,10 +171,13 @@
     });
   }
 
-  private send(connection: Connection, to: Socket, bytes: Buffer): void {
-    if (connection.silent) return;
-    if (this.delayMs === 0) to.write(bytes);
-    else setTimeout(() => !connection.silent && to.write(bytes), this.delayMs);
+  private send(connection: Connection, direction: 'requests' | 'answers', bytes: Buffer): void {
+    const write = (): void => {
+      if (connection.silent === 'both' || connection.silent === direction) return;
+      (direction === 'requests' ? connection.far : connection.receiver).write(bytes);
+    };
+    if (this.delayMs === 0) write();
+    else setTimeout(write, this.delayMs);
   }
 
   private drop(connection: Connection): void {
