--- a/src/serving/StageBatcher.ts
+++ b/src/serving/StageBatcher.ts
@@ -5,6 +5,7 @@
 import {
   StageQueue,
   type CallOutcome,
+  type PieceOutcome,
   type PlannedCall,
   type StageTask,
   type TaskEnd,
@@ -289,6 +290,7 @@
       server: server.id,
       pieces: pieces.length,
       outcome: outcome.kind,
+      results: outcome.kind === 'answered' ? countKinds(outcome.pieces) : undefined,
       cause: response.kind === 'failed' ? response.failure.message : response.status,
       expectedMs: Math.round(expectedMs),
       durationMs: Math.round(clock.now() - startedAt),
@@ -352,3 +354,12 @@
 function listenerKey(service: string, taskId: number): string {
   return `${service}/${taskId}`;
 }
+
+/** @returns number of pieces by what the server said of them */
+function countKinds(pieces: readonly PieceOutcome[]): Record<string, number> {
+  const counts: Record<string, number> = {};
+  pieces.forEach(({ kind }) => {
+    counts[kind] = (counts[kind] ?? 0) + 1;
+  });
+  return counts;
+}
