Let many processes read busy tables of the store by turns

Processes tell each other of changes by heartbeats within 250 ms already. Ruled out: repeated calls after failures (22 reads by "history lost", 66 lost). Change: after a change a process waits 50 ms for each process, 1 s at most, before it reads again. The follower's wiring moves to StoreFollowers.

--- a/src/serving/ServingProcess.ts
+++ b/src/serving/ServingProcess.ts
@@ -18,7 +18,7 @@
 import { StageBatcher } from './StageBatcher.js';
 import { StageClient, taskOfOrder } from './StageClient.js';
 import { StageRunner } from './StageRunner.js';
-import { TableFollower } from './TableFollower.js';
+import { StoreFollowers } from './StoreFollowers.js';
 import type { RowDecoder, ServingProtocol } from './Types.js';
 import { ChannelServer } from './peers/ChannelServer.js';
 import { Membership } from './peers/Membership.js';
@@ -97,9 +97,7 @@
 
   private readonly peerServer: PeerServer;
 
-  private readonly followers: TableFollower[] = [];
-
-  private readonly feeds: RowFeed[] = [];
+  private readonly followers: StoreFollowers;
 
   private readonly connections: Connections;
 
@@ -198,10 +196,16 @@
       },
       logger,
     );
+    this.followers = new StoreFollowers({
+      createFeed: () => parts.createFeed(settings.store),
+      logger,
+      processes: () => this.view.processes,
+      random: parts.random,
+    });
     this.membership = new Membership({
       own: { id: settings.id, address: this.peerAddress },
       table: parts.names.memberTable,
-      feed: this.openFeed(),
+      feed: this.followers.openFeed(),
       logger,
       clients: this.clients,
       view: this.view,
@@ -259,17 +263,17 @@
     });
     const callers = endpointOf(settings.listen.callers);
     await this.ingress.listen(callers.ip, callers.port);
-    this.follow(names.configurationTable, CHANGE_WAIT_MS, {
+    this.followers.follow(names.configurationTable, CHANGE_WAIT_MS, {
       replaceAll: (rows) => this.applyConfiguration(rows),
       apply: (rows) => this.applyConfiguration(rows),
     });
-    this.follow(names.serverTable, CHANGE_WAIT_MS, {
+    this.followers.follow(names.serverTable, CHANGE_WAIT_MS, {
       replaceAll: (rows, version) => this.registrations.replaceAll(rows, version),
       apply: (rows, version) => this.registrations.apply(rows, version),
       onReachable: () => this.registrations.markStoreReachable(),
       onLost: () => this.registrations.markStoreLost(),
     });
-    this.follow(names.memberTable, MEMBER_WAIT_MS, {
+    this.followers.follow(names.memberTable, MEMBER_WAIT_MS, {
       replaceAll: (rows) => this.membership.replaceRows(rows),
       apply: (rows) => this.membership.applyRows(rows),
     });
@@ -309,7 +313,6 @@
   /** Ends everything at once, as the end of the process would. */
   async dispose(): Promise<void> {
     clearInterval(this.directoryTimer);
-    this.followers.forEach((follower) => follower.dispose());
     this.membership.dispose();
     this.peerServer.dispose();
     this.channels.dispose();
@@ -318,34 +321,10 @@
     this.ingress.dispose();
     this.readiness.close();
     this.readiness.closeAllConnections();
-    await Promise.all(this.feeds.map((feed) => feed.close()));
+    await this.followers.dispose();
     this.connections.dispose();
   }
 
-  private follow(
-    table: string,
-    waitMs: number,
-    listener: Partial<TableFollowerListener> & Pick<TableFollowerListener, 'replaceAll' | 'apply'>,
-  ): void {
-    const { logger, random } = this.parts;
-    const follower = new TableFollower({
-      feed: this.openFeed(),
-      table,
-      waitMs,
-      listener: { onReachable: () => undefined, onLost: () => undefined, ...listener },
-      logger,
-      random,
-    });
-    this.followers.push(follower);
-    follower.run().catch((error: unknown) => logger.error('follower failed', { table, error }));
-  }
-
-  private openFeed(): RowFeed {
-    const feed = this.parts.createFeed(this.parts.settings.store);
-    this.feeds.push(feed);
-    return feed;
-  }
-
   private applyConfiguration(rows: readonly FeedRow[]): void {
     rows
       .filter(({ key }) => key === this.parts.names.configurationKey)
@@ -392,8 +371,6 @@
   }
 }
 
-type TableFollowerListener = ConstructorParameters<typeof TableFollower>[0]['listener'];
-
 function endpointOf(address: string): { ip: string; port: number } {
   const separator = address.lastIndexOf(':');
   return { ip: address.slice(0, separator), port: Number(address.slice(separator + 1)) };
--- /dev/null
+++ b/src/serving/TableFollower.test.ts
@@ -0,0 +1,54 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { setTimeout as sleep } from 'node:timers/promises';
+import type { RowFeed } from '../storage/RowFeed.js';
+import { createLogger } from '../telemetry/Logger.js';
+import { TableFollower } from './TableFollower.js';
+
+/** Time between two changes of the table. */
+const CHANGE_MS = 10;
+
+/** A table that changes all the time. */
+function createBusyFeed() {
+  const calls = { changes: 0 };
+  const feed: RowFeed = {
+    readAll: async () => ({ ok: true, value: { rows: [], version: 0 } }),
+    changes: async (_table, version) => {
+      calls.changes += 1;
+      await sleep(CHANGE_MS);
+      const rows = [{ key: 'server', value: Buffer.from('row') }];
+      return { ok: true, value: { kind: 'changes', page: { rows, version: version + 1 } } };
+    },
+    write: async () => ({ ok: true, value: undefined }),
+    close: async () => undefined,
+  };
+  return { feed, calls };
+}
+
+test('many processes that follow a busy table read it by turns', async () => {
+  // Guards against each change being read by every process, which calls and their limit cost.
+  const { feed, calls } = createBusyFeed();
+  let applied = 0;
+  const follower = new TableFollower({
+    feed,
+    table: 'servers',
+    waitMs: 3000,
+    listener: {
+      replaceAll: () => undefined,
+      apply: () => {
+        applied += 1;
+      },
+      onReachable: () => undefined,
+      onLost: () => undefined,
+    },
+    logger: createLogger('test', 'error', () => undefined),
+    processes: () => 20,
+    random: () => 0.5,
+  });
+  const running = follower.run();
+  await sleep(2000);
+  assert.ok(applied > 0, 'no change was read');
+  assert.ok(calls.changes <= 4, `${calls.changes} reads in two seconds`);
+  follower.dispose();
+  await running;
+});
--- a/src/serving/TableFollower.ts
+++ b/src/serving/TableFollower.ts
@@ -13,6 +13,15 @@
 const FIRST_PAUSE_MS = 100;
 const MAX_PAUSE_MS = 800;
 
+/**
+ * After a change a process waits this long for each process before it reads again, in ms: every
+ * change wakes the feeds of all processes, and one that reads it early tells the others.
+ */
+const GAP_PER_PROCESS_MS = 50;
+
+/** Longest wait after a change, in ms; a third of the time in which changes have to be in force. */
+const MAX_GAP_MS = 1000;
+
 /** Takes what a follower learns. */
 export interface TableListener {
   /** Takes all rows of the table. */
@@ -34,6 +43,8 @@
   readonly waitMs: number;
   readonly listener: TableListener;
   readonly logger: Logger;
+  /** Number of processes that follow the table and tell each other of changes. */
+  readonly processes: () => number;
   /** Spreads repeated calls, at least 0 and below 1. */
   readonly random: () => number;
 }
@@ -87,9 +98,16 @@
     const { rows, version } = result.value.page;
     this.version = Math.max(this.version!, version);
     listener.apply(rows, this.version);
+    if (rows.length > 0) await sleep(this.gapMs());
     return undefined;
   }
 
+  /** @returns wait before the next read; differs a little, so that processes read by turns */
+  private gapMs(): number {
+    const { processes, random } = this.options;
+    return Math.min(MAX_GAP_MS, GAP_PER_PROCESS_MS * processes()) * (0.5 + random() / 2);
+  }
+
   private noteSuccess(): void {
     if (this.failures > 0) {
       this.options.logger.info('store regained', {
