--- a/src/serving/ServingProcess.ts
+++ b/src/serving/ServingProcess.ts
@@ -291,6 +291,7 @@
   }
 
   private async finishRequests(): Promise<void> {
+    const wasReady = this.isReady;
     this.isStopping = true;
     const { clock, logger, settings } = this.parts;
     const startedAt = clock.now();
@@ -300,7 +301,8 @@
       .withdraw()
       .catch((error: unknown) => logger.warn('member row not removed', { error }));
     const endsAt = startedAt + settings.shutdown.graceSeconds * 1000 - EXIT_MARGIN_MS;
-    await sleep(BALANCER_LAG_MS);
+    // The balancer sends nothing to a process that was not ready, as during its start.
+    if (wasReady) await sleep(BALANCER_LAG_MS);
     while (clock.now() < endsAt) {
       this.ingress.closeIdle();
       if (this.ingress.requestsRunning === 0) break;
