--- a/src/load/soak/FaultActions.ts
+++ b/src/load/soak/FaultActions.ts
@@ -11,6 +11,9 @@
   SoakServer,
 } from './Types.js';
 
+/** Key that comes and goes. */
+export const EXTRA_KEY = { key: 'key-2', account: 'account-2' } as const;
+
 /** What a fault acts on. */
 export interface FaultContext {
   readonly deployment: SoakDeployment;
@@ -220,6 +223,3 @@
   },
   rowMalformed: async ({ deployment }) => deployment.writeMalformedRow(),
 };
-
-/** Key that comes and goes. */
-export const EXTRA_KEY = { key: 'key-2', account: 'account-2' } as const;
--- a/src/load/soak/Soak.ts
+++ b/src/load/soak/Soak.ts
@@ -19,6 +19,10 @@
 
 const POLL_MS = 100;
 
+/** A turn of the soak that comes this much too late is counted as a stall, in ms. */
+const STALL_MS = 150;
+const STALL_POLL_MS = 25;
+
 /** Calm requests that show whether stage results are released, and the time for that. */
 const CALM_ROUNDS = 5;
 const RELEASE_MS = 1500;
@@ -31,18 +35,14 @@
   readonly faults: number;
   /** From the end of the faults until every kind was served by every process. */
   readonly recoveryMs: number;
+  /** How often the soak itself did not run for a while; its callers and servers see times late then. */
+  readonly stalls: number;
   readonly violations: readonly string[];
 }
 
 /** Runs processes under a seeded series of faults. */
 export class Soak {
-  private readonly history: SoakHistory = {
-    requests: [],
-    servers: [],
-    disturbances: [],
-    keys: [{ ...USUAL_KEY, from: 0, to: Infinity }],
-    observed: [],
-  };
+  private readonly history: SoakHistory;
 
   private readonly random: SeededRandom;
 
@@ -50,6 +50,8 @@
 
   private stopped = false;
 
+  private stalls = 0;
+
   /**
    * @param deployment - running processes and stand-ins
    * @param limits - settings that the bounds refer to
@@ -61,6 +63,13 @@
     private readonly seed: number,
   ) {
     this.random = new SeededRandom(seed);
+    this.history = {
+      requests: [],
+      servers: deployment.everyServer,
+      disturbances: [],
+      keys: [{ ...USUAL_KEY, from: 0, to: Infinity }],
+      observed: [],
+    };
     const keys = { usual: USUAL_KEY.key, extra: EXTRA_KEY.key };
     this.callers = new SoakCallers(deployment, this.history, new SeededRandom(seed + 1), keys);
   }
@@ -70,7 +79,7 @@
    * @returns what happened
    */
   async run(seconds: number): Promise<SoakReport> {
-    const watching = this.watchExits();
+    const watching = Promise.all([this.watchExits(), this.watchStalls()]);
     this.callers.start();
     const faults = createFaultSeries(this.random, seconds);
     const startedAt = performance.now();
@@ -88,7 +97,6 @@
     await this.checkReleases();
     this.stopped = true;
     await watching;
-    // Servers that were replaced are in the history as well.
     const { requests } = this.history;
     return {
       seed: this.seed,
@@ -97,13 +105,21 @@
         .length,
       faults: faults.length,
       recoveryMs,
-      violations: findViolations(
-        { ...this.history, servers: this.deployment.everyServer() },
-        this.limits,
-      ),
+      stalls: this.stalls,
+      violations: findViolations(this.history, this.limits),
     };
   }
 
+  private async watchStalls(): Promise<void> {
+    let from = performance.now();
+    while (!this.stopped) {
+      await sleep(STALL_POLL_MS);
+      const to = performance.now();
+      if (to - from > STALL_POLL_MS + STALL_MS) this.stalls += 1;
+      from = to;
+    }
+  }
+
   private async watchExits(): Promise<void> {
     const reported = new Set<SoakProcess>();
     while (!this.stopped) {
--- a/src/load/soak/Types.ts
+++ b/src/load/soak/Types.ts
@@ -78,7 +78,7 @@
 /** All that the promises are judged by. */
 export interface SoakHistory {
   readonly requests: RequestRecord[];
-  readonly servers: ServerRecord[];
+  readonly servers: readonly ServerRecord[];
   readonly disturbances: Disturbance[];
   readonly keys: KeyPeriod[];
   /** Violations that were seen while the soak ran. */
@@ -144,8 +144,8 @@
 export interface SoakDeployment {
   readonly processes: readonly SoakProcess[];
   readonly servers: readonly SoakServer[];
-  /** @returns records of all servers that ever ran */
-  everyServer(): ServerRecord[];
+  /** Records of all servers that ever ran; grows as servers are replaced. */
+  readonly everyServer: readonly ServerRecord[];
   /** Sets how the store answers; undefined ends the fault. */
   disturbStore(fault: 'refuse' | 'silent' | 'lost-answer' | undefined): void;
   loseStoreHistory(): void;
