Judge draining servers of the soak by the time in which they drained

Cause: found in reading: a drained server lost its mark when it came back, and all faults are awaited before the verdict, so "draining servers get nothing" was judged for replaced servers only; besides, it asked for five calm seconds, which a series of faults seldom leaves. Change: servers keep the times of their absences, which last twice the bound; an arrival is judged if the bound has passed since the absence began and since the last disturbance of the process's way to the store. Stage calls are still not recorded as arrivals, so draining stage servers are not judged.

--- a/src/load/soak/FaultActions.ts
+++ b/src/load/soak/FaultActions.ts
@@ -190,14 +190,15 @@
   serverDrains: async (context) => {
     const { deployment, fault } = context;
     const server = serverOf(context);
-    if (server.record.leftAt !== undefined) return;
-    server.record.leftAt = now();
+    if (server.record.absences.some(({ to }) => to === Infinity)) return;
+    const absence = { from: now(), to: Infinity };
+    server.record.absences.push(absence);
     deployment.register(server, refine(fault.choice) < 0.5 ? 'draining' : 'gone');
-    // Longer than the bound, so that late arrivals are seen.
-    await sleep(BOUNDS.drainMs + fault.forMs);
+    // Twice the bound, so that late arrivals are seen although other faults come between.
+    await sleep(2 * BOUNDS.drainMs + fault.forMs);
     // A server that was replaced stays away.
     if (!deployment.servers.includes(server)) return;
-    delete server.record.leftAt;
+    absence.to = now();
     deployment.register(server, 'ready');
   },
   serversSwapAddresses: async (context) => {
--- a/src/load/soak/PromiseChecks.test.ts
+++ b/src/load/soak/PromiseChecks.test.ts
@@ -41,7 +41,7 @@
 ): SoakHistory {
   return {
     requests: [request],
-    servers: [{ id: 's', service: 'plain', arrivals }],
+    servers: [{ id: 's', service: 'plain', arrivals, absences: [] }],
     disturbances: [],
     keys: [{ key: 'k', account: 'a', from: 0, to: Infinity }],
     observed: [],
@@ -81,7 +81,7 @@
         id: 's',
         service: 'plain',
         arrivals: [createArrival()],
-        leftAt: SENT_AT - BOUNDS.drainMs,
+        absences: [{ from: SENT_AT - BOUNDS.drainMs, to: Infinity }],
       },
     ],
   }),
@@ -126,6 +126,18 @@
     });
   });
 
+  it('judge a server that drained and came back by the time between', () => {
+    // Guards against a check that sees only servers that are still away when the soak ends.
+    const between = { from: SENT_AT - BOUNDS.drainMs, to: SENT_AT + 50 };
+    const before = { from: 0, to: SENT_AT - 1 };
+    const historyOf = (absence: { from: number; to: number }) =>
+      createHistory(createRequest(), [], {
+        servers: [{ id: 's', service: 'plain', arrivals: [createArrival()], absences: [absence] }],
+      });
+    assert.equal(findViolations(historyOf(between), LIMITS).length, 1);
+    assert.deepEqual(findViolations(historyOf(before), LIMITS), []);
+  });
+
   it('do not judge the time of a request at a process that was frozen', () => {
     const outcome = createOutcome({ endedAt: SENT_AT + 9000 });
     const frozen = {
--- a/src/load/soak/PromiseChecks.ts
+++ b/src/load/soak/PromiseChecks.ts
@@ -58,6 +58,17 @@
   );
 }
 
+/** Subjects whose disturbance keeps news of the store from a process. */
+const newsPathOf = (process: string): string[] => [process, 'store', `store of ${process}`];
+
+/** @returns start of the undisturbed span that ends at a time, not before `from`; infinite if there is none */
+function settledAt(history: SoakHistory, subjects: string[], from: number, at: number): number {
+  const ends = history.disturbances
+    .filter((disturbance) => subjects.includes(disturbance.subject) && disturbance.from <= at)
+    .map(({ to }) => (to > at ? Infinity : to));
+  return Math.max(from, ...ends);
+}
+
 const describe = ({ id, kind, process, outcome }: RequestRecord): string =>
   `${id} (${kind}, ${process}, status ${outcome?.status ?? 'none'})`;
 
@@ -136,14 +147,13 @@
     history.requests
       .filter((record) => {
         const { key, process, sentAt, outcome } = record;
-        const settledAt = sentAt - BOUNDS.configurationMs;
-        if (!isCalm(history, [process, 'store', `store of ${process}`], settledAt, sentAt))
-          return false;
+        const knownSince = sentAt - BOUNDS.configurationMs;
+        if (!isCalm(history, newsPathOf(process), knownSince, sentAt)) return false;
         const periods = history.keys.filter((period) => period.key === key);
         const isHeld = periods.some(
-          ({ from, to }) => from <= settledAt && to >= (outcome?.endedAt ?? sentAt),
+          ({ from, to }) => from <= knownSince && to >= (outcome?.endedAt ?? sentAt),
         );
-        const isGone = periods.every(({ from, to }) => to <= settledAt || from >= sentAt);
+        const isGone = periods.every(({ from, to }) => to <= knownSince || from >= sentAt);
         const status = outcome?.status ?? 0;
         return (isHeld && DENIED_STATUSES.has(status)) || (isGone && status === 200);
       })
@@ -154,11 +164,11 @@
     return history.servers.flatMap((server) =>
       server.arrivals
         .filter(({ id, arrivedAt }) => {
-          const { leftAt = Infinity } = server;
           const process = requests.get(id)?.process ?? '';
-          return (
-            arrivedAt > leftAt + BOUNDS.drainMs &&
-            isCalm(history, [process, 'store', `store of ${process}`], leftAt, arrivedAt)
+          return server.absences.some(
+            ({ from, to }) =>
+              arrivedAt < to &&
+              arrivedAt > settledAt(history, newsPathOf(process), from, arrivedAt) + BOUNDS.drainMs,
           );
         })
         .map(({ id }) => `${id} at ${server.id}`),
--- a/src/load/soak/Types.ts
+++ b/src/load/soak/Types.ts
@@ -48,13 +48,20 @@
   readonly endedAt?: number;
 }
 
+/** Time in which a server was to get no new work. */
+export interface Absence {
+  readonly from: number;
+  /** Infinite while it lasts, and for a server that was replaced. */
+  to: number;
+}
+
 /** What one backend server saw. */
 export interface ServerRecord {
   readonly id: string;
   readonly service: string;
   readonly arrivals: readonly ArrivalRecord[];
-  /** When its registration was marked as draining or removed. */
-  leftAt?: number;
+  /** When its registration was marked as draining or missing. */
+  readonly absences: Absence[];
 }
 
 /** A fault on a process, a link, a server or the store. */
