Keep the order of bytes in the relay when a delay ends

The relay delayed each part with a timer of its own, so parts sent after the end of a delay overtook those under way. No TCP connection does that. Ruled out: the product; its log shows one run, answered whole as received. Before: the new test receives "ba". The proofs of the own interface use the same relay.

--- a/src/load/launch/TcpRelay.test.ts
+++ b/src/load/launch/TcpRelay.test.ts
@@ -56,3 +56,23 @@
     await once(socket, 'close');
   });
 });
+
+test('bytes keep their order when a delay ends while some are under way', async () => {
+  // Guards against a relay that lets later bytes overtake, which no TCP connection does.
+  await withEcho(async (relay, open) => {
+    const socket = open();
+    socket.setNoDelay(true);
+    await once(socket, 'connect');
+    let received = '';
+    socket.on('data', (bytes: Buffer) => {
+      received += bytes.toString();
+    });
+    relay.slow(100);
+    socket.write('a');
+    await sleep(30);
+    relay.heal();
+    socket.write('b');
+    await sleep(300);
+    assert.equal(received, 'ab');
+  });
+});
--- a/src/load/launch/TcpRelay.ts
+++ b/src/load/launch/TcpRelay.ts
@@ -5,6 +5,15 @@
 /** Which bytes a silent connection drops. */
 export type SilentDirection = 'both' | 'requests' | 'answers';
 
+type Direction = Exclude<SilentDirection, 'both'>;
+
+/** Bytes that are delayed. */
+interface DelayedBytes {
+  readonly bytes: Buffer;
+  /** Monotonic time at which they are passed on. */
+  readonly at: number;
+}
+
 /** A pair of sockets. */
 interface Connection {
   readonly near: Socket;
@@ -13,6 +22,8 @@
   silent: SilentDirection | undefined;
   /** Monotonic time of the last transfer; the connection carries an exchange if it is recent. */
   activeAt: number;
+  /** Bytes under way, in order. */
+  readonly delayed: Record<Direction, DelayedBytes[]>;
   /** Gets the answers; another connection's near side after two were crossed. */
   receiver: Socket;
 }
@@ -148,7 +159,14 @@
     }
     const [host, port] = this.target.split(':');
     const far = connect(Number(port), host);
-    const connection: Connection = { near, far, silent: undefined, activeAt: 0, receiver: near };
+    const connection: Connection = {
+      near,
+      far,
+      silent: undefined,
+      activeAt: 0,
+      delayed: { requests: [], answers: [] },
+      receiver: near,
+    };
     this.connections.add(connection);
     near.on('data', (bytes) => {
       connection.activeAt = performance.now();
@@ -171,13 +189,31 @@
     });
   }
 
-  private send(connection: Connection, direction: 'requests' | 'answers', bytes: Buffer): void {
-    const write = (): void => {
-      if (connection.silent === 'both' || connection.silent === direction) return;
-      (direction === 'requests' ? connection.far : connection.receiver).write(bytes);
-    };
-    if (this.delayMs === 0) write();
-    else setTimeout(write, this.delayMs);
+  private send(connection: Connection, direction: Direction, bytes: Buffer): void {
+    const queue = connection.delayed[direction];
+    if (this.delayMs === 0 && queue.length === 0) {
+      this.pass(connection, direction, bytes);
+      return;
+    }
+    queue.push({ bytes, at: performance.now() + this.delayMs });
+    if (queue.length === 1) this.passNext(connection, direction);
+  }
+
+  /** Passes delayed bytes on one by one, since a delay may be shorter than the one before. */
+  private passNext(connection: Connection, direction: Direction): void {
+    const queue = connection.delayed[direction];
+    const [next] = queue;
+    if (!next) return;
+    setTimeout(() => {
+      this.pass(connection, direction, next.bytes);
+      queue.shift();
+      this.passNext(connection, direction);
+    }, next.at - performance.now());
+  }
+
+  private pass({ silent, far, receiver }: Connection, direction: Direction, bytes: Buffer): void {
+    if (silent === 'both' || silent === direction) return;
+    (direction === 'requests' ? far : receiver).write(bytes);
   }
 
   private drop(connection: Connection): void {
