Keep the work of a stage request and a heartbeat independent of queue and fleet size

Cause: with all servers busy, each arriving task sorted all waiting tasks twice and built a call for every free server over all tasks; each heartbeat summed the engine loads of all processes again; each request hashed all processes several times for the batching process of a service and searched all servers by address for each result.

Change: the queue counts waiting pieces as they change, sorts only if a server can take a call, and stops at a full call that carries the most urgent task. Sums of engine loads change by the heartbeat that arrived. Choices of batching processes are kept for 50 ms. The directory indexes servers by address and service. The types of tasks and calls move to Types.ts, which ends the import circle of CallSelection, PieceTimeEstimator, StageQueue and StageServerState.

--- a/src/common/serving/CallSelection.ts
+++ b/src/common/serving/CallSelection.ts
@@ -1,7 +1,7 @@
 /** Selects the server and the pieces of the next call of a stage service. */
 import type { PieceTimeEstimator } from './PieceTimeEstimator.js';
 import type { StageCapacity } from './ServingConfiguration.js';
-import type { PieceReference, QueuedTask } from './StageQueue.js';
+import type { PieceReference, QueuedTask } from './Types.js';
 import type { StageServerState } from './StageServerState.js';
 
 /**
@@ -22,6 +22,8 @@
   readonly serverState: StageServerState;
   /** Empty if no task suits the server. */
   readonly pieces: readonly PieceReference[];
+  /** Position of the first task among the queued ones. */
+  readonly rank: number;
 }
 
 /** Inputs of the selection that are the same for all servers and tasks. */
@@ -30,8 +32,8 @@
   readonly now: number;
   readonly capacity: StageCapacity;
   readonly pieceTimes: PieceTimeEstimator;
-  /** Servers that have not failed recently, including busy ones. */
-  readonly healthy: readonly StageServerState[];
+  /** Failure domains with servers that have not failed recently, including busy ones. */
+  readonly healthyDomains: ReadonlySet<string>;
 }
 
 /**
@@ -48,19 +50,20 @@
   context: SelectionContext,
 ): CandidateCall | undefined {
   let best: CandidateCall | undefined;
-  let bestRank = Infinity;
-  freeServers.forEach((serverState) => {
+  for (const serverState of freeServers) {
     const candidate = candidateFor(serverState, queuedTasks, context);
-    if (candidate.pieces.length === 0) return;
-    const rank = queuedTasks.findIndex(({ taskId }) => taskId === candidate.pieces[0]?.taskId);
-    const isFuller = candidate.pieces.length > (best?.pieces.length ?? 0);
-    if (rank > bestRank || (rank === bestRank && !isFuller)) return;
-    best = candidate;
-    bestRank = rank;
-  });
+    if (candidate.pieces.length > 0 && (!best || isPreferred(candidate, best))) best = candidate;
+    // No other call could carry a more urgent task or more pieces.
+    if (best?.rank === 0 && best.pieces.length >= context.capacity.batchSize) return best;
+  }
   return best;
 }
 
+function isPreferred(candidate: CandidateCall, best: CandidateCall): boolean {
+  if (candidate.rank !== best.rank) return candidate.rank < best.rank;
+  return candidate.pieces.length > best.pieces.length;
+}
+
 /**
  * Fills a call with pieces in order of urgency. The pieces of a task are split over several calls
  * only if no single call can carry them, so that they finish together on one server.
@@ -72,21 +75,33 @@
 ): CandidateCall {
   const { capacity } = context;
   const pieces: PieceReference[] = [];
+  let rank = Infinity;
   let freeBytes = capacity.resultRoomBytes - serverState.usedBytes(context.now);
-  queuedTasks.forEach((queuedTask) => {
-    const maxPieces = Math.min(
-      capacity.batchSize - pieces.length,
-      fittingResults(freeBytes, queuedTask),
-    );
-    if (maxPieces <= 0 || !shouldRunOn(serverState, queuedTask, context)) return;
-    const isSplit = maxPieces < queuedTask.unassignedPieces.size;
-    if (isSplit && !mustSplit(queuedTask, capacity)) return;
-    const assigned = [...queuedTask.unassignedPieces].slice(0, maxPieces);
-    const { taskId, task } = queuedTask;
-    assigned.forEach((piece) => pieces.push({ taskId, task, piece }));
-    freeBytes -= assigned.length * task.resultBytes;
-  });
-  return { serverState, pieces };
+  for (const [index, queuedTask] of queuedTasks.entries()) {
+    const freePlaces = capacity.batchSize - pieces.length;
+    if (freePlaces <= 0) break;
+    const maxPieces = Math.min(freePlaces, fittingResults(freeBytes, queuedTask));
+    if (maxPieces > 0 && canCarry(queuedTask, maxPieces, serverState, context)) {
+      const assigned = [...queuedTask.unassignedPieces].slice(0, maxPieces);
+      const { taskId, task } = queuedTask;
+      assigned.forEach((piece) => pieces.push({ taskId, task, piece }));
+      freeBytes -= assigned.length * task.resultBytes;
+      rank = Math.min(rank, index);
+    }
+  }
+  return { serverState, pieces, rank };
+}
+
+/** Whether a call to the server should carry up to the given number of pieces of the task. */
+function canCarry(
+  queuedTask: QueuedTask,
+  maxPieces: number,
+  serverState: StageServerState,
+  context: SelectionContext,
+): boolean {
+  const isSplit = maxPieces < queuedTask.unassignedPieces.size;
+  if (isSplit && !mustSplit(queuedTask, context.capacity)) return false;
+  return shouldRunOn(serverState, queuedTask, context);
 }
 
 /** @returns number of the task's results that fit in the free memory */
@@ -120,11 +135,11 @@
 function shouldWaitForDomain(
   serverState: StageServerState,
   { task, addedAt }: QueuedTask,
-  { now, healthy }: SelectionContext,
+  { now, healthyDomains }: SelectionContext,
 ): boolean {
   const { preferredDomain } = task;
   if (preferredDomain === undefined || serverState.server.failureDomain === preferredDomain)
     return false;
   if (now >= addedAt + MAX_DOMAIN_WAIT_MS) return false;
-  return healthy.some(({ server }) => server.failureDomain === preferredDomain);
+  return healthyDomains.has(preferredDomain);
 }
--- a/src/common/serving/EnginePlacement.ts
+++ b/src/common/serving/EnginePlacement.ts
@@ -78,6 +78,9 @@
   /** Time of the last use, on the clock, by engine id and part id. */
   private readonly cachedParts = new Map<string, Map<string, number>>();
 
+  /** Number of engines with a tracked part, by part id. */
+  private readonly engineCounts = new Map<string, number>();
+
   constructor(
     private readonly clock: Clock,
     private readonly records: ServerRecords,
@@ -129,14 +132,19 @@
     this.cachedParts.set(engineId, cached);
     const now = this.clock.now();
     sharedParts(parts).forEach(({ id }) => {
-      cached.delete(id);
+      if (!cached.delete(id)) this.countEngine(id, 1);
       cached.set(id, now);
     });
-    while (cached.size > MAX_TRACKED_PARTS) cached.delete(cached.keys().next().value!);
+    while (cached.size > MAX_TRACKED_PARTS) {
+      const oldest = cached.keys().next().value!;
+      cached.delete(oldest);
+      this.countEngine(oldest, -1);
+    }
   }
 
   /** Discards the cache state of an engine that was removed or restarted. */
   forget(engineId: string): void {
+    this.cachedParts.get(engineId)?.forEach((_, partId) => this.countEngine(partId, -1));
     this.cachedParts.delete(engineId);
   }
 
@@ -173,11 +181,13 @@
   }
 
   private isCommon(partId: string): boolean {
-    let engines = 0;
-    this.cachedParts.forEach((cached) => {
-      if (cached.has(partId)) engines += 1;
-    });
-    return engines >= COMMON_PART_MIN_ENGINES;
+    return (this.engineCounts.get(partId) ?? 0) >= COMMON_PART_MIN_ENGINES;
+  }
+
+  private countEngine(partId: string, change: 1 | -1): void {
+    const count = (this.engineCounts.get(partId) ?? 0) + change;
+    if (count > 0) this.engineCounts.set(partId, count);
+    else this.engineCounts.delete(partId);
   }
 }
 
--- a/src/common/serving/PieceTimeEstimator.ts
+++ b/src/common/serving/PieceTimeEstimator.ts
@@ -1,5 +1,5 @@
 import type { StageCapacity } from './ServingConfiguration.js';
-import type { PieceReference } from './StageQueue.js';
+import type { PieceReference } from './Types.js';
 
 /** Fraction of a call's estimation error by which the estimates are corrected. */
 const CORRECTION_SHARE = 0.2;
--- a/src/common/serving/ServerDirectory.ts
+++ b/src/common/serving/ServerDirectory.ts
@@ -24,6 +24,11 @@
 export class ServerDirectory {
   private readonly servers = new Map<string, BackendServer>();
 
+  private readonly serversByAddress = new Map<string, BackendServer>();
+
+  /** Results of {@link usable} since the last change of a registration. */
+  private readonly usableByService = new Map<string, readonly BackendServer[]>();
+
   /** Time of each delayed removal, on the clock, by server id. */
   private readonly delayedRemovals = new Map<string, number>();
 
@@ -90,14 +95,19 @@
 
   /** @returns the server that registered with the address last; undefined if there is none */
   findByAddress(address: string): BackendServer | undefined {
-    return [...this.servers.values()].reverse().find((server) => server.address === address);
+    return this.serversByAddress.get(address);
   }
 
   /** @returns the servers of the service that are not draining */
-  usable(service: string): BackendServer[] {
-    return [...this.servers.values()].filter(
+  usable(service: string): readonly BackendServer[] {
+    const known = this.usableByService.get(service);
+    if (known) return known;
+    const usable = [...this.servers.values()].filter(
       (server) => server.service === service && !server.isDraining,
     );
+    // Only services with servers are kept, which bounds the map.
+    if (usable.length > 0) this.usableByService.set(service, usable);
+    return usable;
   }
 
   /** Number of registered servers, including draining ones. */
@@ -113,6 +123,8 @@
     // Only one server can listen on an address: the one that registered last.
     if (previous && previous.id !== server.id) this.remove(previous.id);
     this.servers.set(server.id, server);
+    this.serversByAddress.set(server.address, server);
+    this.usableByService.clear();
     this.changedEmitter.fire(server);
   }
 
@@ -131,7 +143,10 @@
     const server = this.servers.get(id);
     this.delayedRemovals.delete(id);
     this.servers.delete(id);
-    if (server) this.removedEmitter.fire(server);
+    if (!server) return;
+    this.serversByAddress.delete(server.address);
+    this.usableByService.clear();
+    this.removedEmitter.fire(server);
   }
 }
 
--- a/src/common/serving/StageQueue.test.ts
+++ b/src/common/serving/StageQueue.test.ts
@@ -1,7 +1,8 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 import fc from 'fast-check';
-import { StageQueue, type CallOutcome, type PlannedCall, type EndedTask } from './StageQueue.js';
+import { StageQueue } from './StageQueue.js';
+import type { CallOutcome, EndedTask, PlannedCall } from './Types.js';
 import { ManualClock } from './testing/ManualClock.js';
 import { createCapacity, createServer, createTask } from './testing/fixtures.js';
 import { generateArrivals, meanOf, replayStage } from './testing/StageReplay.js';
@@ -111,6 +112,32 @@
     assert.equal(only(queue.plan()).pieces[0]?.taskId, urgent);
   });
 
+  it('does not sort the queue for arrivals while all servers are busy', () => {
+    // Guards against work that grows with the square of the queue when more tasks arrive than the
+    // servers can run: each arrival used to compare all waiting tasks.
+    const { queue } = createQueue({ batchSize: 1 });
+    queue.add(createTask());
+    only(queue.plan());
+    let comparisons = 0;
+    const createCountingTask = () =>
+      Object.defineProperty({ ...createTask() }, 'dueAt', {
+        get: () => {
+          comparisons += 1;
+          return 1000;
+        },
+      });
+    const arrivals = 300;
+    for (let index = 0; index < arrivals; index += 1) {
+      queue.add(createCountingTask());
+      assert.deepEqual(queue.plan(), []);
+    }
+    assert.equal(queue.waitingPieceCount, arrivals);
+    assert.ok(
+      comparisons <= arrivals,
+      `${comparisons} reads of due times for ${arrivals} arrivals`,
+    );
+  });
+
   it('ends every task once, with its own results only, whatever the outcomes of the calls', () => {
     // Guards against tasks that never end or end twice when calls fail or are refused, or when
     // servers are removed.
--- a/src/common/serving/StageQueue.ts
+++ b/src/common/serving/StageQueue.ts
@@ -4,93 +4,24 @@
 import { PieceTimeEstimator } from './PieceTimeEstimator.js';
 import { StageServerState } from './StageServerState.js';
 import type { BackendServer, StageCapacity } from './ServingConfiguration.js';
-
-/** All pieces of one stage of one request. They succeed or fail together. */
-export interface StageTask {
-  readonly attemptId: string;
-  /** Index of the stage in the route. */
-  readonly stage: number;
-  /** Number of pieces. */
-  readonly pieces: number;
-  /** Input of the stage if it reads no results. */
-  readonly key?: string;
-  /** Handles of the results that every piece reads. */
-  readonly inputs: readonly string[];
-  /** Approximate size of the result of one piece, in bytes. */
-  readonly resultBytes: number;
-  /** Total size of the inputs, in bytes. */
-  readonly inputBytes: number;
-  /** Kind of work; pieces of the same kind take about the same time. */
-  readonly work: string;
-  /** Failure domain in which transfers of inputs or results cost least; absent if negligible. */
-  readonly preferredDomain?: string;
-  /** 0 is the most urgent. */
-  readonly priority: number;
-  /** Time by which the stage has to end to meet the request's objective, on the clock, in ms. */
-  readonly dueAt: number;
-  /** Time after which the results are no longer needed, on the clock, in ms. */
-  readonly expiresAt: number;
-}
-
-/** Reference to one piece of a task. */
-export interface PieceReference {
-  readonly taskId: number;
-  readonly task: StageTask;
-  /** Index of the piece in the task. */
-  readonly piece: number;
-}
-
-/** A call to send now. */
-export interface PlannedCall {
-  readonly callId: number;
-  readonly server: BackendServer;
-  readonly pieces: readonly PieceReference[];
-  /** Expected duration, in ms. */
-  readonly expectedMs: number;
-}
-
-/**
- * Outcome of one piece, as reported by the backend server. `made`: the result is stored under the
- * handle. `late`: the deadline passed first. `input-gone`: an input is no longer stored. `no-room`:
- * the server has no memory for the result.
- */
-export type PieceOutcome =
-  | { readonly kind: 'made'; readonly handle: string }
-  | { readonly kind: 'late' | 'input-gone' | 'no-room' | 'failed' };
-
-/** How a call ended. */
-export type CallOutcome =
-  | { readonly kind: 'answered'; readonly pieces: readonly PieceOutcome[] }
-  /** The server refused the call, as it is at capacity. */
-  | { readonly kind: 'not-executed' }
-  /** No byte of the call was sent. */
-  | { readonly kind: 'unsent' }
-  /** The call failed after it was sent; the server may have run it. */
-  | { readonly kind: 'broken' };
-
-/** How a task ended. */
-export type TaskOutcome =
-  | { readonly kind: 'done'; readonly handles: readonly string[] }
-  | { readonly kind: 'expired' | 'input-gone' | 'failed' };
-
-/** A task that ended. */
-export interface EndedTask {
-  readonly taskId: number;
-  readonly outcome: TaskOutcome;
-}
-
-/** A task without results for all its pieces. */
-export interface QueuedTask {
-  readonly taskId: number;
-  readonly task: StageTask;
-  /** Pieces that have no result and are not part of a call in progress. */
-  readonly unassignedPieces: Set<number>;
-  /** Handles of the results, by piece. */
-  readonly handles: Map<number, string>;
+import type {
+  CallOutcome,
+  EndedTask,
+  PieceOutcome,
+  PieceReference,
+  PlannedCall,
+  QueuedTask,
+  StageTask,
+  TaskOutcome,
+} from './Types.js';
+
+/** The servers as of one time. */
+interface ServerOverview {
   /** On the clock, in ms. */
-  readonly addedAt: number;
-  /** Failed sends, summed over the pieces. */
-  failures: number;
+  readonly now: number;
+  /** Servers that have not failed recently, including busy ones. */
+  readonly healthy: readonly StageServerState[];
+  readonly healthyDomains: ReadonlySet<string>;
 }
 
 /** Failed sends per piece, averaged over the task, above which the task fails. */
@@ -111,6 +42,11 @@
 export class StageQueue {
   private readonly tasks = new Map<number, QueuedTask>();
 
+  /** The tasks with unassigned pieces, by id. */
+  private readonly waitingTasks = new Map<number, QueuedTask>();
+
+  private waitingPieces = 0;
+
   private readonly servers = new Map<string, StageServerState>();
 
   private readonly calls = new Map<number, PlannedCall>();
@@ -163,16 +99,16 @@
   add(task: StageTask): number {
     const taskId = this.nextTaskId;
     this.nextTaskId += 1;
-    const unassignedPieces = new Set(Array.from({ length: task.pieces }, (_, piece) => piece));
-    const addedAt = this.clock.now();
-    this.tasks.set(taskId, {
+    const queued: QueuedTask = {
       taskId,
       task,
-      unassignedPieces,
+      unassignedPieces: new Set(),
       handles: new Map(),
-      addedAt,
+      addedAt: this.clock.now(),
       failures: 0,
-    });
+    };
+    this.tasks.set(taskId, queued);
+    for (let piece = 0; piece < task.pieces; piece += 1) this.unassign(queued, piece);
     return taskId;
   }
 
@@ -183,16 +119,22 @@
    */
   cancel(taskId: number): string[] {
     const queued = this.tasks.get(taskId);
-    this.tasks.delete(taskId);
-    return [...(queued?.handles.values() ?? [])];
+    if (!queued) return [];
+    this.removeTask(queued);
+    return [...queued.handles.values()];
   }
 
   /** Number of pieces that wait to be sent. */
   get waitingPieceCount(): number {
-    return [...this.tasks.values()].reduce(
-      (sum, { unassignedPieces }) => sum + unassignedPieces.size,
-      0,
-    );
+    return this.waitingPieces;
+  }
+
+  /** Whether pieces wait and a server could run a call now. */
+  get canStartCall(): boolean {
+    if (this.waitingPieces === 0) return false;
+    const now = this.clock.now();
+    const { concurrentCalls } = this.capacity;
+    return [...this.servers.values()].some((state) => state.isFree(now, concurrentCalls));
   }
 
   /** Whether no task waits or runs. */
@@ -215,6 +157,7 @@
    * @returns the removed tasks
    */
   removeExpired(): EndedTask[] {
+    if (this.waitingPieces === 0) return [];
     const now = this.clock.now();
     const healthyCount = [...this.servers.values()].filter((state) => state.isHealthy(now)).length;
     const piecesPerMs =
@@ -234,12 +177,14 @@
    * @returns calls to send now
    */
   plan(): PlannedCall[] {
+    if (!this.canStartCall) return [];
     const now = this.clock.now();
     const healthy = [...this.servers.values()].filter((state) => state.isHealthy(now));
+    const healthyDomains = new Set(healthy.map(({ server }) => server.failureDomain));
     const planned: PlannedCall[] = [];
     let queuedTasks = this.byUrgency(now);
     while (queuedTasks.length > 0) {
-      const call = this.planCall(queuedTasks, healthy, now);
+      const call = this.planCall(queuedTasks, { now, healthy, healthyDomains });
       if (!call) break;
       planned.push(call);
       queuedTasks = queuedTasks.filter(({ unassignedPieces }) => unassignedPieces.size > 0);
@@ -257,17 +202,15 @@
 
   private planCall(
     queuedTasks: readonly QueuedTask[],
-    healthy: readonly StageServerState[],
-    now: number,
+    { now, healthy, healthyDomains }: ServerOverview,
   ): PlannedCall | undefined {
     const { concurrentCalls } = this.capacity;
     const freeServers = healthy.filter((state) => state.isFree(now, concurrentCalls));
     if (freeServers.length === 0) return undefined;
-    const waitingCount = queuedTasks.reduce((sum, queued) => sum + queued.unassignedPieces.size, 0);
-    const isFull = waitingCount >= this.capacity.batchSize;
+    const isFull = this.waitingPieces >= this.capacity.batchSize;
     const load = { now, serverCount: healthy.length, freeCount: freeServers.length };
     const mayStart = isFull || this.pacer.mayStart(load);
-    const context = { now, capacity: this.capacity, pieceTimes: this.pieceTimes, healthy };
+    const context = { now, capacity: this.capacity, pieceTimes: this.pieceTimes, healthyDomains };
     const candidate = mayStart ? selectCall(freeServers, queuedTasks, context) : undefined;
     return candidate && this.startCall(candidate.serverState, [...candidate.pieces], now);
   }
@@ -320,8 +263,7 @@
         this.capacity.callMs + this.pieceTimes.pieceMs(task.work) * unassignedPieces.size;
       return now + Math.max(taskMs, this.pacer.meanCallMs) <= task.dueAt;
     };
-    return [...this.tasks.values()]
-      .filter(({ unassignedPieces }) => unassignedPieces.size > 0)
+    return [...this.waitingTasks.values()]
       .map((queued) => ({ queued, onTime: isOnTime(queued) }))
       .sort(
         (left, right) =>
@@ -335,7 +277,7 @@
   private startCall(state: StageServerState, pieces: PieceReference[], now: number): PlannedCall {
     const callId = this.nextCallId;
     this.nextCallId += 1;
-    pieces.forEach(({ taskId, piece }) => this.tasks.get(taskId)?.unassignedPieces.delete(piece));
+    pieces.forEach((reference) => this.assign(reference));
     const expectedMs = this.pieceTimes.callMs(pieces);
     const bytes = pieces.reduce((sum, { task }) => sum + task.resultBytes, 0);
     state.startCall(callId, { startedAt: now, expectedMs, bytes });
@@ -371,7 +313,10 @@
 
   /** Requeues pieces that no server received. They do not count as failed sends. */
   private requeue(references: readonly PieceReference[]): EndedTask[] {
-    references.forEach(({ taskId, piece }) => this.tasks.get(taskId)?.unassignedPieces.add(piece));
+    references.forEach(({ taskId, piece }) => {
+      const queued = this.tasks.get(taskId);
+      if (queued) this.unassign(queued, piece);
+    });
     return [];
   }
 
@@ -383,14 +328,34 @@
       queued.failures += 1;
       const isExhausted = queued.failures > MAX_FAILURES_PER_PIECE * task.pieces;
       if (isExhausted || !this.mayRetry(1)) return [this.endTask(taskId, { kind: 'failed' })];
-      queued.unassignedPieces.add(piece);
+      this.unassign(queued, piece);
       return [];
     });
   }
 
   private endTask(taskId: number, outcome: TaskOutcome): EndedTask {
-    if (outcome.kind !== 'done') this.orphans.push(...this.cancel(taskId));
-    this.tasks.delete(taskId);
+    const handles = this.cancel(taskId);
+    if (outcome.kind !== 'done') this.orphans.push(...handles);
     return { taskId, outcome };
   }
+
+  private assign({ taskId, piece }: PieceReference): void {
+    const queued = this.tasks.get(taskId);
+    if (!queued?.unassignedPieces.delete(piece)) return;
+    this.waitingPieces -= 1;
+    if (queued.unassignedPieces.size === 0) this.waitingTasks.delete(taskId);
+  }
+
+  private unassign(queued: QueuedTask, piece: number): void {
+    if (queued.unassignedPieces.has(piece)) return;
+    queued.unassignedPieces.add(piece);
+    this.waitingPieces += 1;
+    this.waitingTasks.set(queued.taskId, queued);
+  }
+
+  private removeTask({ taskId, unassignedPieces }: QueuedTask): void {
+    this.tasks.delete(taskId);
+    this.waitingTasks.delete(taskId);
+    this.waitingPieces -= unassignedPieces.size;
+  }
 }
--- a/src/common/serving/StageServerState.ts
+++ b/src/common/serving/StageServerState.ts
@@ -1,5 +1,5 @@
 import type { BackendServer } from './ServingConfiguration.js';
-import type { CallOutcome } from './StageQueue.js';
+import type { CallOutcome } from './Types.js';
 
 /** Weight of the newest call in the moving average of a server's slowness. */
 const SLOWNESS_WEIGHT = 0.4;
--- a/src/common/serving/testing/StageReplay.ts
+++ b/src/common/serving/testing/StageReplay.ts
@@ -2,7 +2,8 @@
 import { SeededRandom } from '../../time/SeededRandom.js';
 import type { BackendServer, StageCapacity } from '../ServingConfiguration.js';
 import { ManualClock } from './ManualClock.js';
-import { StageQueue, type PlannedCall, type StageTask, type EndedTask } from '../StageQueue.js';
+import { StageQueue } from '../StageQueue.js';
+import type { EndedTask, PlannedCall, StageTask } from '../Types.js';
 
 /** A task that arrives at the queue. */
 export interface Arrival {
--- a/src/common/serving/testing/fixtures.ts
+++ b/src/common/serving/testing/fixtures.ts
@@ -5,7 +5,7 @@
   ServingConfiguration,
   StageCapacity,
 } from '../ServingConfiguration.js';
-import type { StageTask } from '../StageQueue.js';
+import type { StageTask } from '../Types.js';
 
 /** @returns capacity of a retrieval service whose calls have a large fixed duration */
 export function createCapacity(overrides: Partial<StageCapacity> = {}): StageCapacity {
--- a/src/serving/StageBatcher.ts
+++ b/src/serving/StageBatcher.ts
@@ -2,15 +2,15 @@
 import type { Cancellation } from '../common/events/Cancellation.js';
 import type { Clock } from '../common/time/Types.js';
 import type { ServerDirectory } from '../common/serving/ServerDirectory.js';
-import {
-  StageQueue,
-  type CallOutcome,
-  type PieceOutcome,
-  type PlannedCall,
-  type StageTask,
-  type EndedTask,
-  type TaskOutcome,
-} from '../common/serving/StageQueue.js';
+import { StageQueue } from '../common/serving/StageQueue.js';
+import type {
+  CallOutcome,
+  EndedTask,
+  PieceOutcome,
+  PlannedCall,
+  StageTask,
+  TaskOutcome,
+} from '../common/serving/Types.js';
 import type { RouteTable } from '../common/serving/RouteTable.js';
 import type { BackendServer } from '../common/serving/ServingConfiguration.js';
 import type { Logger } from '../telemetry/Logger.js';
@@ -206,7 +206,9 @@
       this.taskIds.delete(task);
       onEnd(outcome);
     });
-    this.advance(service);
+    // While all servers are busy, the ticker removes tasks that cannot finish: sorting the whole
+    // queue for each arrival would cost most when the load is highest.
+    if (queue.canStartCall) this.advance(service);
   }
 
   /**
@@ -259,6 +261,10 @@
     const queue = this.queues.get(service);
     if (!queue) return;
     this.notifyListeners(service, queue.removeExpired());
+    this.startCalls(service, queue);
+  }
+
+  private startCalls(service: string, queue: StageQueue): void {
     this.release(queue.removeOrphans());
     queue.plan().forEach((call) => {
       this.sendCall(service, call).catch((error: unknown) =>
--- a/src/serving/StageClient.ts
+++ b/src/serving/StageClient.ts
@@ -1,6 +1,6 @@
 import type { Cancellation } from '../common/events/Cancellation.js';
 import type { Clock } from '../common/time/Types.js';
-import type { StageTask, TaskOutcome } from '../common/serving/StageQueue.js';
+import type { StageTask, TaskOutcome } from '../common/serving/Types.js';
 import type { Logger } from '../telemetry/Logger.js';
 import type { StageBatcher } from './StageBatcher.js';
 import type { PeerClients } from './peers/PeerClients.js';
--- a/src/serving/StageRunner.ts
+++ b/src/serving/StageRunner.ts
@@ -3,7 +3,7 @@
 import type { Clock } from '../common/time/Types.js';
 import type { RouteTable } from '../common/serving/RouteTable.js';
 import { StageGraph, type ReadyStage } from '../common/serving/StageGraph.js';
-import type { TaskOutcome } from '../common/serving/StageQueue.js';
+import type { TaskOutcome } from '../common/serving/Types.js';
 import type { CallerRequest } from './CallerRequest.js';
 import type { ServingMetrics } from './ServingMetrics.js';
 import type { StageClient } from './StageClient.js';
--- a/src/serving/Types.ts
+++ b/src/serving/Types.ts
@@ -2,7 +2,7 @@
 import type { PromptPart } from '../common/serving/EnginePlacement.js';
 import type { RegistrationChange } from '../common/serving/ServerDirectory.js';
 import type { ServingConfiguration } from '../common/serving/ServingConfiguration.js';
-import type { PieceOutcome, PieceReference } from '../common/serving/StageQueue.js';
+import type { PieceOutcome, PieceReference } from '../common/serving/Types.js';
 
 /** Header names and values alternating, as received. */
 export type RawHeaders = readonly string[];
--- a/src/serving/peers/ChannelClient.ts
+++ b/src/serving/peers/ChannelClient.ts
@@ -1,6 +1,6 @@
 import { connect, type Socket } from 'node:net';
 import type { Cancellation } from '../../common/events/Cancellation.js';
-import type { TaskOutcome } from '../../common/serving/StageQueue.js';
+import type { TaskOutcome } from '../../common/serving/Types.js';
 import type { Logger } from '../../telemetry/Logger.js';
 import { JsonLinesConnection } from './JsonLinesConnection.js';
 import type { ChannelReply, StageRequest } from './PeerMessages.js';
--- a/src/serving/peers/ChannelServer.ts
+++ b/src/serving/peers/ChannelServer.ts
@@ -1,6 +1,6 @@
 import { createServer, type Server, type Socket } from 'node:net';
 import { Cancellation } from '../../common/events/Cancellation.js';
-import type { TaskOutcome } from '../../common/serving/StageQueue.js';
+import type { TaskOutcome } from '../../common/serving/Types.js';
 import type { Logger } from '../../telemetry/Logger.js';
 import { JsonLinesConnection } from './JsonLinesConnection.js';
 import { ChannelRequest, type StageRequest } from './PeerMessages.js';
--- a/src/serving/peers/PeerMessages.ts
+++ b/src/serving/peers/PeerMessages.ts
@@ -1,6 +1,6 @@
 /** Messages between serving processes. */
 import { z } from 'zod';
-import type { TaskOutcome } from '../../common/serving/StageQueue.js';
+import type { TaskOutcome } from '../../common/serving/Types.js';
 
 /** State of a process, which it sends to all others several times a second, as one datagram. */
 export const Heartbeat = z.object({
--- /dev/null
+++ b/src/serving/peers/PeerView.test.ts
@@ -0,0 +1,78 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { ManualClock } from '../../common/serving/testing/ManualClock.js';
+import { PeerView } from './PeerView.js';
+import { createHeartbeat } from './testing/fixtures.js';
+
+/** Time after which a process without heartbeats must count as dead, in ms. */
+const DEAD_AFTER_MS = 1200;
+
+function createView(peers: number) {
+  const clock = new ManualClock();
+  const own = createHeartbeat('own', { weight: 0.01 });
+  const view = new PeerView(clock, () => own);
+  const ids = Array.from({ length: peers }, (_, index) => `peer-${index + 1}`);
+  ids.forEach((id) => view.recordHeartbeat(createHeartbeat(id, { engines: { engine: [1, 100] } })));
+  return { clock, view, ids };
+}
+
+describe('PeerView', () => {
+  it('sums the load of an engine over the live processes only', () => {
+    // Guards against engines that seem busy for ever after a process with requests on them is lost.
+    const { clock, view } = createView(3);
+    assert.deepEqual(view.engineLoad('engine'), { running: 3, tokens: 300 });
+    view.recordHeartbeat(createHeartbeat('peer-1', { engines: { engine: [5, 0] } }));
+    assert.deepEqual(view.engineLoad('engine'), { running: 7, tokens: 200 });
+    clock.set(DEAD_AFTER_MS);
+    view.recordHeartbeat(createHeartbeat('peer-2', { engines: { other: [1, 1] } }));
+    assert.equal(view.processCount, 2);
+    assert.deepEqual(view.engineLoad('engine'), { running: 0, tokens: 0 });
+    assert.deepEqual(view.engineLoad('other'), { running: 1, tokens: 1 });
+  });
+
+  it('moves a service to another process when its batching process dies, leaves or fails', () => {
+    const { clock, view, ids } = createView(4);
+    const first = view.batchingProcess('retrieval').id;
+    view.recordHeartbeat(createHeartbeat(first, { isLeaving: true }));
+    const second = view.batchingProcess('retrieval').id;
+    assert.notEqual(second, first);
+    view.recordFailedCall(second);
+    const third = view.batchingProcess('retrieval').id;
+    assert.ok(third !== first && third !== second);
+    clock.set(DEAD_AFTER_MS);
+    ids
+      .filter((id) => id !== second && id !== third)
+      .forEach((id) => view.recordHeartbeat(createHeartbeat(id)));
+    assert.notEqual(view.batchingProcess('retrieval').id, third);
+    assert.equal(view.isLive(third), false);
+  });
+
+  it('returns the latest backlog of the batching process', () => {
+    const { view } = createView(4);
+    const { id } = view.batchingProcess('retrieval');
+    view.recordHeartbeat(createHeartbeat(id, { backlogs: { retrieval: 700 } }));
+    assert.equal(view.backlogOf('retrieval'), 700);
+  });
+
+  it('handles a heartbeat without visiting the state of the other processes', () => {
+    // Guards against work that grows with the square of the fleet: every process receives the
+    // heartbeats of all others.
+    const { view } = createView(0);
+    let visits = 0;
+    const engines = new Proxy<Record<string, [number, number]>>(
+      { engine: [1, 1] },
+      {
+        ownKeys: (target) => {
+          visits += 1;
+          return Reflect.ownKeys(target);
+        },
+      },
+    );
+    const fleet = 100;
+    for (let index = 0; index < fleet; index += 1) {
+      view.recordHeartbeat(createHeartbeat(`peer-${index}`, { engines }));
+    }
+    assert.ok(visits <= 2 * fleet, `${visits} visits for ${fleet} heartbeats`);
+    assert.deepEqual(view.engineLoad('engine'), { running: fleet, tokens: fleet });
+  });
+});
--- a/src/serving/peers/PeerView.ts
+++ b/src/serving/peers/PeerView.ts
@@ -11,6 +11,15 @@
 /** Processes below this share of the largest weight batch only if no larger process is alive. */
 const MIN_WEIGHT_SHARE = 0.5;
 
+/**
+ * Longest time for which the choice of batching processes is reused, in ms. Choosing hashes every
+ * live process, and each request asks several times.
+ */
+const CHOICE_LIFETIME_MS = 50;
+
+/** Time after which a silent process is forgotten, in ms. */
+const FORGET_AFTER_MS = 60_000;
+
 interface Peer {
   heartbeat: Heartbeat;
   lastHeartbeatAt: number;
@@ -23,11 +32,25 @@
   readonly tokens: number;
 }
 
+/** Live processes, and the batching process of each service that was asked for, as of one time. */
+interface Choices {
+  readonly madeAt: number;
+  readonly liveCount: number;
+  /** Processes that may batch; undefined until one is asked for. */
+  candidates: readonly Heartbeat[] | undefined;
+  readonly processByService: Map<string, string>;
+}
+
 /** Tracks the other serving processes by their heartbeats. */
 export class PeerView {
   private readonly peers = new Map<string, Peer>();
 
-  private engineLoads = new Map<string, EngineLoad>();
+  private readonly engineLoads = new Map<string, EngineLoad>();
+
+  /** Ids of the processes whose load is part of {@link engineLoads}. */
+  private readonly countedPeers = new Set<string>();
+
+  private choices: Choices | undefined;
 
   /**
    * @param clock - time source
@@ -41,39 +64,44 @@
   /** Records a heartbeat; one of an earlier incarnation is ignored while the later one is alive. */
   recordHeartbeat(heartbeat: Heartbeat): void {
     const known = this.peers.get(heartbeat.id);
-    const isKnownLive =
-      known !== undefined && this.clock.now() - known.lastHeartbeatAt < HEARTBEAT_TIMEOUT_MS;
+    const isKnownLive = known !== undefined && this.isPeerLive(known, this.clock.now());
     // After a time-out any incarnation is accepted: the system clock may have been set back.
     if (isKnownLive && known.heartbeat.incarnation > heartbeat.incarnation) return;
-    this.peers.set(heartbeat.id, {
+    if (!isKnownLive || isOtherCandidate(known.heartbeat, heartbeat)) this.choices = undefined;
+    if (known) this.subtractEngineLoads(known);
+    const peer = {
       heartbeat,
       lastHeartbeatAt: this.clock.now(),
       avoidedUntil: known?.avoidedUntil ?? -Infinity,
-    });
-    this.updateEngineLoads();
+    };
+    this.peers.set(heartbeat.id, peer);
+    this.countedPeers.add(heartbeat.id);
+    this.addEngineLoads(heartbeat, 1);
   }
 
   /** Records that a call to the process failed, so that it receives no new work for a while. */
   recordFailedCall(id: string): void {
     const peer = this.peers.get(id);
     if (peer) peer.avoidedUntil = this.clock.now() + FAILED_CALL_AVOIDANCE_MS;
+    this.choices = undefined;
   }
 
   /** Number of live processes, including this one. */
   get processCount(): number {
-    return this.liveHeartbeats().length + 1;
+    return this.currentChoices().liveCount + 1;
   }
 
   /** @returns latest heartbeats of the other processes that are alive */
   liveHeartbeats(): Heartbeat[] {
     const now = this.clock.now();
     return [...this.peers.values()]
-      .filter(({ lastHeartbeatAt }) => now - lastHeartbeatAt < HEARTBEAT_TIMEOUT_MS)
+      .filter((peer) => this.isPeerLive(peer, now))
       .map(({ heartbeat }) => heartbeat);
   }
 
   isLive(id: string): boolean {
-    return this.liveHeartbeats().some((heartbeat) => heartbeat.id === id);
+    const peer = this.peers.get(id);
+    return peer !== undefined && this.isPeerLive(peer, this.clock.now());
   }
 
   /**
@@ -82,37 +110,84 @@
    * @returns heartbeat of the chosen process, which may be this one
    */
   batchingProcess(service: string): Heartbeat {
+    const choices = this.currentChoices();
+    const chosenId = choices.processByService.get(service);
+    const chosen = chosenId === undefined ? undefined : this.peers.get(chosenId)?.heartbeat;
+    if (chosen) return chosen;
+    const ownHeartbeat = this.ownHeartbeat();
+    if (chosenId === ownHeartbeat.id) return ownHeartbeat;
+    choices.candidates ??= this.batchingCandidates(ownHeartbeat);
+    const first = rankByHash(choices.candidates, service)[0] ?? ownHeartbeat;
+    choices.processByService.set(service, first.id);
+    return first;
+  }
+
+  /** @returns time until all pieces waiting for the service could be started, in ms */
+  backlogOf(service: string): number {
+    return this.batchingProcess(service).backlogs[service] ?? 0;
+  }
+
+  /** @returns load of the engine from the other processes */
+  engineLoad(serverId: string): EngineLoad {
+    return this.engineLoads.get(serverId) ?? { running: 0, tokens: 0 };
+  }
+
+  private isPeerLive({ lastHeartbeatAt }: Peer, now: number): boolean {
+    return now - lastHeartbeatAt < HEARTBEAT_TIMEOUT_MS;
+  }
+
+  private currentChoices(): Choices {
+    const now = this.clock.now();
+    if (this.choices && now - this.choices.madeAt < CHOICE_LIFETIME_MS) return this.choices;
+    this.removeSilentPeers(now);
+    const liveCount = [...this.peers.values()].filter((peer) => this.isPeerLive(peer, now)).length;
+    this.choices = { madeAt: now, liveCount, candidates: undefined, processByService: new Map() };
+    return this.choices;
+  }
+
+  private batchingCandidates(ownHeartbeat: Heartbeat): Heartbeat[] {
     const now = this.clock.now();
     const candidates = this.liveHeartbeats().filter(
       ({ id, isLeaving }) => !isLeaving && (this.peers.get(id)?.avoidedUntil ?? 0) <= now,
     );
-    const ownHeartbeat = this.ownHeartbeat();
     if (!ownHeartbeat.isLeaving) candidates.push(ownHeartbeat);
     const largest = Math.max(...candidates.map(({ weight }) => weight));
     // With hashing by weight alone, a small and too slow instance would still rank first for some
     // services.
-    const sufficient = candidates.filter(({ weight }) => weight >= largest * MIN_WEIGHT_SHARE);
-    return rankByHash(sufficient, service)[0] ?? ownHeartbeat;
+    return candidates.filter(({ weight }) => weight >= largest * MIN_WEIGHT_SHARE);
   }
 
-  /** @returns time until all pieces waiting for the service could be started, in ms */
-  backlogOf(service: string): number {
-    return this.batchingProcess(service).backlogs[service] ?? 0;
+  private removeSilentPeers(now: number): void {
+    this.peers.forEach((peer, id) => {
+      if (this.isPeerLive(peer, now)) return;
+      this.subtractEngineLoads(peer);
+      if (now - peer.lastHeartbeatAt >= FORGET_AFTER_MS) this.peers.delete(id);
+    });
   }
 
-  /** @returns load of the engine from the other processes */
-  engineLoad(serverId: string): EngineLoad {
-    return this.engineLoads.get(serverId) ?? { running: 0, tokens: 0 };
+  private subtractEngineLoads({ heartbeat }: Peer): void {
+    if (this.countedPeers.delete(heartbeat.id)) this.addEngineLoads(heartbeat, -1);
   }
 
-  private updateEngineLoads(): void {
-    const sums = new Map<string, EngineLoad>();
-    this.liveHeartbeats().forEach(({ engines }) => {
-      Object.entries(engines).forEach(([id, [running, tokens]]) => {
-        const sum = sums.get(id) ?? { running: 0, tokens: 0 };
-        sums.set(id, { running: sum.running + running, tokens: sum.tokens + tokens });
-      });
+  /** Adds the engine loads of a heartbeat to the sums, or subtracts them if the sign is -1. */
+  private addEngineLoads({ engines }: Heartbeat, sign: 1 | -1): void {
+    Object.entries(engines).forEach(([id, [running, tokens]]) => {
+      const sum = this.engineLoads.get(id) ?? { running: 0, tokens: 0 };
+      const updated = {
+        running: sum.running + sign * running,
+        tokens: sum.tokens + sign * tokens,
+      };
+      if (updated.running === 0 && updated.tokens === 0) this.engineLoads.delete(id);
+      else this.engineLoads.set(id, updated);
     });
-    this.engineLoads = sums;
   }
 }
+
+/** Whether a process has to be considered anew as a batching process. */
+function isOtherCandidate(known: Heartbeat, heartbeat: Heartbeat): boolean {
+  return (
+    known.incarnation !== heartbeat.incarnation ||
+    known.isLeaving !== heartbeat.isLeaving ||
+    known.weight !== heartbeat.weight
+  );
+}
--- /dev/null
+++ b/src/serving/peers/testing/fixtures.ts
@@ -0,0 +1,20 @@
+/** Creates messages between serving processes for tests. */
+import type { Heartbeat } from '../PeerMessages.js';
+
+/** @returns heartbeat of a ready process without load */
+export function createHeartbeat(id: string, overrides: Partial<Heartbeat> = {}): Heartbeat {
+  return {
+    id,
+    incarnation: 1,
+    address: `${id}:1`,
+    channel: `${id}:2`,
+    weight: 1,
+    isLeaving: false,
+    configurationVersion: 1,
+    serverVersion: 1,
+    serverDigest: 0,
+    backlogs: {},
+    engines: {},
+    ...overrides,
+  };
+}
