Bound what a backend server may send

Cause: an event without an end was buffered whole (61 MB in 10 s) and copied for each chunk, an error body of a stream without any bound; blank lines, chunk framing and informational responses were read until a time-out; a body in chunks of single bytes took many times its size; comments kept a stalled stream alive.

Change: limits of head, informational responses, body, event, error body, framing and of all buffered responses of a process are settings; past one, the connection is closed, the server counts as faulty and the log names server, limit and value. Bytes are collected in one growing buffer; parsing is linear in the bytes. Only events with data that the caller has not got yet count as progress of a stream. Responses of the store are limited to 16 MiB.

--- a/src/serving/BackendConnections.ts
+++ b/src/serving/BackendConnections.ts
@@ -1,12 +1,12 @@
 import type { BackendServer } from '../common/serving/ServingConfiguration.js';
 import type { Clock } from '../common/time/Types.js';
-import { ServerConnectionPool } from './ServerConnectionPool.js';
+import { ServerConnectionPool, type PoolLimits } from './ServerConnectionPool.js';
 
 /** Share of a server's connections that all processes together use; the rest covers restarts. */
 const USABLE_CONNECTION_SHARE = 0.8;
 
 /** Limits of the deployment, from which the connections of one process are derived. */
-export interface ConnectionLimits {
+export interface ConnectionLimits extends PoolLimits {
   /** @returns most connections that one server of the service accepts, from all processes */
   maxConnections(service: string): number;
   /** @returns number of processes that share these connections */
@@ -31,7 +31,12 @@
     const known = this.pools.get(server.id);
     if (known && known.server.address === server.address) return known;
     known?.close();
-    const pool = new ServerConnectionPool(server, this.clock, () => this.connectionLimit(server));
+    const pool = new ServerConnectionPool(
+      server,
+      this.clock,
+      () => this.connectionLimit(server),
+      this.limits,
+    );
     this.pools.set(server.id, pool);
     return pool;
   }
--- a/src/serving/BufferedCall.ts
+++ b/src/serving/BufferedCall.ts
@@ -18,9 +18,6 @@
     }
   | { readonly kind: 'failed'; readonly failure: ExchangeFailure };
 
-/** Largest response that is buffered, in bytes. */
-const MAX_RESPONSE_BYTES = 8 * 1024 * 1024;
-
 /** Options of {@link bufferedCall}. */
 export interface CallOptions {
   /** Time-out of the whole exchange, including connecting, in ms. */
@@ -43,14 +40,13 @@
 ): Promise<BufferedResponse> {
   return new Promise((resolve) => {
     const head = { status: 0, headers: [] as string[] };
-    const chunks: Buffer[] = [];
-    let size = 0;
     let exchange: Exchange | undefined;
     let timer: NodeJS.Timeout | undefined;
     let subscription: Disposable | undefined;
     const settle = (response: BufferedResponse) => {
       clearTimeout(timer);
       subscription?.dispose();
+      body.release();
       resolve(response);
     };
     const fail = (kind: ExchangeFailure['kind'], message: string) =>
@@ -59,14 +55,11 @@
       exchange?.abort();
       fail('broken', message);
     };
+    const body = pool.createBuffer('bodyBytes', abort);
     exchange = pool.send(request, {
       onHead: (status, headers) => Object.assign(head, { status, headers }),
-      onData: (chunk) => {
-        size += chunk.length;
-        chunks.push(chunk);
-        if (size > MAX_RESPONSE_BYTES) abort('response too large');
-      },
-      onEnd: () => settle({ kind: 'answered', ...head, body: Buffer.concat(chunks) }),
+      onData: (chunk) => body.append(chunk),
+      onEnd: () => settle({ kind: 'answered', ...head, body: body.finish() }),
       onFailure: ({ kind, message }) => fail(kind, message),
     });
     if (!exchange) {
--- a/src/serving/ServerConnectionPool.test.ts
+++ b/src/serving/ServerConnectionPool.test.ts
@@ -1,54 +1,7 @@
 import assert from 'node:assert/strict';
 import { once } from 'node:events';
-import { createServer, type AddressInfo, type Server, type Socket } from 'node:net';
 import { afterEach, describe, it } from 'node:test';
-import type { BackendServer } from '../common/serving/ServingConfiguration.js';
-import { SystemClock } from '../storage/SystemClock.js';
-import { bufferedCall, type BufferedResponse } from './BufferedCall.js';
-import { ServerConnectionPool } from './ServerConnectionPool.js';
-
-const CALL_TIMEOUT_MS = 2000;
-
-/** Responds to received data with raw bytes. */
-type Responder = (socket: Socket) => void;
-
-/** A TCP server that does not parse HTTP, and a pool of connections to it. */
-interface RawServer {
-  readonly pool: ServerConnectionPool;
-  readonly server: Server;
-  connections(): number;
-}
-
-const running: RawServer[] = [];
-
-async function startServer(respond: Responder): Promise<RawServer> {
-  let connections = 0;
-  const server = createServer((socket) => {
-    connections += 1;
-    socket.on('error', () => undefined);
-    socket.on('data', () => respond(socket));
-  });
-  server.listen(0, '127.0.0.1');
-  await once(server, 'listening');
-  const { port } = server.address() as AddressInfo;
-  const backend: BackendServer = {
-    id: 's1',
-    service: 'plain',
-    address: `127.0.0.1:${port}`,
-    failureDomain: 'north',
-    slots: 1,
-    isDraining: false,
-  };
-  const pool = new ServerConnectionPool(backend, new SystemClock(), () => 10);
-  const raw = { pool, server, connections: () => connections };
-  running.push(raw);
-  return raw;
-}
-
-function call({ pool }: RawServer): Promise<BufferedResponse> {
-  const request = { method: 'GET', path: '/', headers: [], needsNewConnection: false };
-  return bufferedCall(pool, request, { timeoutMs: CALL_TIMEOUT_MS });
-}
+import { call, startServer, stopServers } from './testing/RawServer.js';
 
 const pause = (ms: number) =>
   new Promise((resolve) => {
@@ -56,12 +9,7 @@
   });
 
 describe('ServerConnectionPool', () => {
-  afterEach(() => {
-    running.splice(0).forEach(({ pool, server }) => {
-      pool.close();
-      server.close();
-    });
-  });
+  afterEach(stopServers);
 
   it('accepts a body without a length that ends with its connection', async () => {
     // Guards against rejecting valid responses that have neither a length nor chunked framing.
--- a/src/serving/ServerConnectionPool.ts
+++ b/src/serving/ServerConnectionPool.ts
@@ -1,5 +1,8 @@
 import type { Socket } from 'node:net';
 import { buildConnector, Client, type Dispatcher } from 'undici';
+import { ResponseBuffer } from '../common/response/ResponseBuffer.js';
+import type { ResponseMemory } from '../common/response/ResponseMemory.js';
+import type { BufferLimit, ResponseLimits } from '../common/response/Types.js';
 import { PooledConnection } from './PooledConnection.js';
 import type { BackendServer } from '../common/serving/ServingConfiguration.js';
 import type { Clock } from '../common/time/Types.js';
@@ -19,6 +22,9 @@
  */
 const REUSE_DELAY_MS = 30;
 
+/** Interval at which the bytes that a server sends outside bodies are checked, in ms. */
+const FRAMING_CHECK_INTERVAL_MS = 250;
+
 /** A request to send to a backend server. */
 export interface ExchangeRequest {
   readonly method: string;
@@ -64,6 +70,13 @@
   resume(): void;
 }
 
+/** Limits that all pools of a process share. */
+export interface PoolLimits {
+  readonly responses: ResponseLimits;
+  /** Memory of all responses that the process buffers. */
+  readonly memory: ResponseMemory;
+}
+
 /** Pool of connections to one backend server, each used by one request at a time. */
 export class ServerConnectionPool {
   private readonly connections: PooledConnection[] = [];
@@ -74,13 +87,25 @@
    * @param server - backend server
    * @param clock - time source
    * @param maxConnections - most connections that this process may open to the server
+   * @param limits - limits of the responses
    */
   constructor(
     readonly server: BackendServer,
     private readonly clock: Clock,
     private readonly maxConnections: () => number,
+    private readonly limits: PoolLimits,
   ) {}
 
+  /**
+   * @param name - name of the limit that applies
+   * @param onOverflow - called with the reason if the limit is exceeded
+   * @returns buffer for the bytes of one response
+   */
+  createBuffer(name: BufferLimit, onOverflow: (reason: string) => void): ResponseBuffer {
+    const { responses, memory } = this.limits;
+    return new ResponseBuffer(memory, { name, bytes: responses[name] }, onOverflow);
+  }
+
   /**
    * Sends a request.
    * @param request - request to send
@@ -129,11 +154,15 @@
       bodyTimeout: 0,
       keepAliveTimeout: IDLE_TIMEOUT_MS,
       keepAliveTimeoutThreshold: 500,
+      maxHeaderSize: this.limits.responses.headBytes,
       connect: (options, callback) =>
         connect(options, (...result) => {
           const [, socket] = result;
           // Registered before the listeners of undici, so that the flag is set when the body ends.
-          if (socket) watchForReset(socket, () => connection.markFailed());
+          if (socket) {
+            watchForReset(socket, () => connection.markFailed());
+            connection.socket = socket;
+          }
           callback(...result);
         }),
     });
@@ -153,12 +182,26 @@
     let isSent = false;
     let hasEnded = false;
     let controller: Dispatcher.DispatchController | undefined;
+    let informationalCount = 0;
+    let bodyBytes = 0;
+    const { responses } = this.limits;
+    const receivedBefore = connection.receivedBytes;
     const finish = (isReusable: boolean, report: () => void) => {
       if (hasEnded) return;
       hasEnded = true;
+      clearInterval(framingCheck);
       this.release(connection, isReusable);
       report();
     };
+    const fail = (message: string) =>
+      finish(false, () => listener.onFailure({ kind: 'broken', message }));
+    // The parser reports neither blank lines nor the framing of chunks, which may come without end.
+    const framingCheck = setInterval(() => {
+      const framingBytes = connection.receivedBytes - receivedBefore - bodyBytes;
+      if (framingBytes > responses.framingBytes) {
+        fail(`response exceeds framingBytes of ${responses.framingBytes}: got ${framingBytes}`);
+      }
+    }, FRAMING_CHECK_INTERVAL_MS);
     connection.client.dispatch(
       {
         method: request.method,
@@ -174,10 +217,17 @@
           isSent = true;
         },
         onResponseStart: (current, status) => {
-          if (status < 200 || hasEnded) return;
+          if (hasEnded) return;
+          if (status < 200) {
+            informationalCount += 1;
+            if (informationalCount <= responses.informationalResponses) return;
+            fail(`more than ${responses.informationalResponses} informational responses`);
+            return;
+          }
           listener.onHead(status, decodeHeaders(current.rawHeaders));
         },
         onResponseData: (_current, chunk) => {
+          bodyBytes += chunk.length;
           if (!hasEnded) listener.onData(chunk);
         },
         onResponseEnd: () => {
--- a/src/serving/ServingProcess.ts
+++ b/src/serving/ServingProcess.ts
@@ -1,5 +1,6 @@
 import { createServer, type Server } from 'node:http';
 import { setTimeout as sleep } from 'node:timers/promises';
+import { ResponseMemory } from '../common/response/ResponseMemory.js';
 import { EnginePlacement } from '../common/serving/EnginePlacement.js';
 import { ServerRecords } from '../common/serving/ServerRecords.js';
 import { ServerDirectory } from '../common/serving/ServerDirectory.js';
@@ -136,6 +137,8 @@
     this.connections = new BackendConnections(clock, {
       maxConnections: (service) => routeTable()?.service(service)?.maxConnections ?? 1,
       processCount,
+      responses: settings.responseLimits,
+      memory: new ResponseMemory(settings.responseLimits.totalBytes),
     });
     const { connections } = this;
     const commonServices = {
--- a/src/serving/ServingSettings.ts
+++ b/src/serving/ServingSettings.ts
@@ -1,5 +1,6 @@
 /** Settings of a serving process. */
 import { z } from 'zod';
+import { ResponseLimits } from '../common/response/Types.js';
 import { Address, LogSettings } from '../settings/CommonSettings.js';
 
 export const ServingSettings = z.object({
@@ -35,6 +36,8 @@
     slack: z.number().min(0),
     windowSeconds: z.number().positive(),
   }),
+  /** Bounds of what a backend server may send. */
+  responseLimits: ResponseLimits,
   log: LogSettings,
 });
 export type ServingSettings = z.infer<typeof ServingSettings>;
--- a/src/serving/StreamForwarder.ts
+++ b/src/serving/StreamForwarder.ts
@@ -1,10 +1,11 @@
 import type { Disposable } from '../common/events/Types.js';
+import { EventParser, type StreamEvent } from '../common/response/EventParser.js';
+import type { ResponseBuffer } from '../common/response/ResponseBuffer.js';
 import type { BackendServer } from '../common/serving/ServingConfiguration.js';
 import { isRetryable, type CallerRequest } from './CallerRequest.js';
-import { EventParser } from './EventParser.js';
 import { isServerError, type ForwardOptions, type ForwardOutcome } from './ForwardOutcome.js';
 import type { ForwardServices } from './BufferedForwarder.js';
-import type { Exchange, ExchangeListener } from './ServerConnectionPool.js';
+import type { Exchange, ExchangeListener, ServerConnectionPool } from './ServerConnectionPool.js';
 import type { ResponseAttributes } from './Types.js';
 
 /** Time-outs after which a stream that can resume at another server is aborted. */
@@ -17,7 +18,12 @@
 
 /** Forwards the event stream of one backend server to the caller, event by event. */
 export class StreamForwarder implements ExchangeListener {
-  private readonly parser = new EventParser();
+  private parser: EventParser | undefined;
+
+  /** Incomplete event of a success, or the body of any other response. */
+  private buffer: ResponseBuffer | undefined;
+
+  private pool: ServerConnectionPool | undefined;
 
   private exchange: Exchange | undefined;
 
@@ -29,8 +35,6 @@
 
   private attributes: ResponseAttributes | undefined;
 
-  private readonly errorBody: Buffer[] = [];
-
   private hasForwardedEvents: boolean;
 
   private lastEventId: string | undefined;
@@ -61,9 +65,11 @@
    */
   forward(server: BackendServer): Promise<ForwardOutcome> {
     const { request, options, services } = this;
+    const pool = services.connections.to(server);
     return new Promise((resolve) => {
       this.settle = resolve;
-      this.exchange = services.connections.to(server).send(
+      this.pool = pool;
+      this.exchange = pool.send(
         {
           method: request.method,
           path: request.target,
@@ -92,26 +98,26 @@
     this.headers = headers;
     this.attributes = this.services.protocol.parseResponse(headers);
     const { attemptId, isSigned, hasContentCoding } = this.attributes;
-    if (!this.isSuccess) return;
+    const limit = this.isSuccess ? 'eventBytes' : 'errorBodyBytes';
+    this.buffer = this.pool?.createBuffer(limit, (reason) => this.fail(reason, true));
+    if (!this.isSuccess || !this.buffer) return;
+    this.parser = new EventParser(this.buffer);
     const matchesAttempt = attemptId === this.request.attributes.attemptId;
     if (!matchesAttempt || !isSigned || hasContentCoding)
       this.fail('answer of another request', true);
   }
 
   onData(chunk: Buffer): void {
-    if (!this.isSuccess) {
-      this.errorBody.push(chunk);
-      return;
-    }
-    this.parser.push(chunk).forEach(({ data, id }) => this.forwardEvent(data, id));
+    if (this.parser) this.parser.push(chunk).forEach((event) => this.forwardEvent(event));
+    else this.buffer?.append(chunk);
   }
 
   onEnd(): void {
-    if (!this.isSuccess) {
+    if (!this.parser) {
       this.finish(this.failureOutcome(), false);
       return;
     }
-    const { remainder } = this.parser;
+    const remainder = Buffer.from(this.parser.remainder);
     // Without a length or chunked framing, only an incomplete last event shows a truncated body.
     if (remainder.length > 0 && !this.attributes?.isFramed) {
       this.fail('stream ended within an event', false);
@@ -132,15 +138,16 @@
     return this.status >= 200 && this.status < 300;
   }
 
-  private forwardEvent(data: Buffer, id: string | undefined): void {
-    this.restartTimer(this.timeouts.nextEventMs);
+  private forwardEvent({ bytes, id, hasData }: StreamEvent): void {
     if (this.isDuplicate(id)) return;
+    // Comments and repeated events are no progress: a stalled server may keep sending them.
+    if (hasData) this.restartTimer(this.timeouts.nextEventMs);
     this.lastEventId = id ?? this.lastEventId;
     const { response } = this.request;
     if (!this.hasForwardedEvents) response.start(this.status, this.headers);
     this.hasForwardedEvents = true;
     this.options.onEvent?.();
-    if (response.write(data)) return;
+    if (response.write(bytes)) return;
     this.exchange?.pause();
     response.onDrain(() => this.exchange?.resume());
   }
@@ -157,7 +164,7 @@
     const matchesAttempt = this.attributes?.attemptId === this.request.attributes.attemptId;
     if (!matchesAttempt)
       return { kind: 'broken', cause: `answer of another request (status ${status})` };
-    const body = Buffer.concat(this.errorBody);
+    const body = this.buffer?.finish() ?? Buffer.alloc(0);
     if (isServerError(status) || this.hasForwardedEvents) {
       return { kind: 'server-error', status, headers, body };
     }
@@ -182,6 +189,7 @@
   private finish(outcome: ForwardOutcome, mustAbort: boolean): void {
     clearTimeout(this.timer);
     this.subscription?.dispose();
+    this.buffer?.release();
     if (mustAbort) this.exchange?.abort();
     this.settle(outcome);
   }
--- a/src/storage/HttpCaller.ts
+++ b/src/storage/HttpCaller.ts
@@ -7,6 +7,9 @@
 /** Maximum connections per service. Further concurrent calls wait for a free connection. */
 const MAX_CONNECTIONS = 32;
 const KEEP_ALIVE_TIMEOUT_MS = 10_000;
+
+/** Largest response, in bytes: above the largest object and the largest page of rows. */
+const MAX_RESPONSE_BYTES = 16 * 1024 * 1024;
 /** The content is unchanged since the entity tag sent with `If-None-Match` (RFC 9110). */
 export const STATUS_NOT_MODIFIED = 304;
 const STATUS_CONFLICT = 409;
@@ -130,6 +133,7 @@
     keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
     headersTimeout: 0,
     bodyTimeout: 0,
+    maxResponseSize: MAX_RESPONSE_BYTES,
   });
 }
 
