Wait for a stage server beside the inputs only if it is free soon

Cause: a task waited up to 40 ms for its preferred failure domain whether or not a server there was about to be free, and then read its inputs across domains, although one often became free some ms later.

Change: the wait depends on when a server of the domain is expected to be free: at most one and a half times the fixed time of a call after the arrival, and only if the task still ends in time there; otherwise it does not wait at all.

--- a/src/common/serving/CallSelection.ts
+++ b/src/common/serving/CallSelection.ts
@@ -11,11 +11,11 @@
 const SLOW_SERVER_RATIO = 1.6;
 
 /**
- * Maximum time that a task waits for a server in its preferred failure domain, in ms. With longer
- * waits, calls carry fewer pieces and requests miss their objective, which costs more than the
- * transfer between failure domains.
+ * Maximum time from the arrival of a task until a server in its preferred failure domain is free,
+ * as a multiple of the fixed time of a call. With longer waits, calls carry fewer pieces and
+ * requests miss their objective, which costs more than the transfer between failure domains.
  */
-const MAX_DOMAIN_WAIT_MS = 40;
+const MAX_DOMAIN_WAIT_CALLS = 1.5;
 
 /** A possible call: a free server and the pieces that it would run. */
 export interface CandidateCall {
@@ -32,8 +32,11 @@
   readonly now: number;
   readonly capacity: StageCapacity;
   readonly pieceTimes: PieceTimeEstimator;
-  /** Failure domains with servers that have not failed recently, including busy ones. */
-  readonly healthyDomains: ReadonlySet<string>;
+  /**
+   * Expected time at which a server of each failure domain is free, on the clock, in ms. Domains in
+   * which all servers failed recently are missing.
+   */
+  readonly domainFreeAt: ReadonlyMap<string, number>;
 }
 
 /**
@@ -128,18 +131,23 @@
   const isSlow = serverState.slowness > SLOW_SERVER_RATIO;
   // Tasks skip slow servers only: leaving free places in a call delays all tasks queued behind it.
   if (isSlow && !isLate && now + serverState.slowness * taskMs > task.dueAt) return false;
-  return !shouldWaitForDomain(serverState, queuedTask, context);
+  return !shouldWaitForDomain(serverState, queuedTask, taskMs, context);
 }
 
-/** Whether the task should wait for a server in its preferred failure domain. */
+/**
+ * Whether the task should wait for a server in its preferred failure domain: if one is free soon
+ * and the task still ends in time there.
+ */
 function shouldWaitForDomain(
   serverState: StageServerState,
   { task, addedAt }: QueuedTask,
-  { now, healthyDomains }: SelectionContext,
+  taskMs: number,
+  { capacity, domainFreeAt }: SelectionContext,
 ): boolean {
   const { preferredDomain } = task;
   if (preferredDomain === undefined || serverState.server.failureDomain === preferredDomain)
     return false;
-  if (now >= addedAt + MAX_DOMAIN_WAIT_MS) return false;
-  return healthyDomains.has(preferredDomain);
+  const freeAt = domainFreeAt.get(preferredDomain) ?? Infinity;
+  const waitsUntil = addedAt + MAX_DOMAIN_WAIT_CALLS * capacity.callMs;
+  return freeAt <= waitsUntil && freeAt + taskMs <= task.dueAt;
 }
--- a/src/common/serving/StageQueue.test.ts
+++ b/src/common/serving/StageQueue.test.ts
@@ -300,4 +300,40 @@
       `remote share of the input bytes: expected below 0.45, got ${remote.toFixed(2)}`,
     );
   });
+
+  it('waits for a server in the right failure domain that is free soon', () => {
+    // Guards against transfers although a server beside the inputs is about to finish its call, and
+    // against tasks that wait in vain for one that is not.
+    const capacity = createCapacity({ batchSize: 18, pieceMs: 7.1 });
+    const inputBytes = 480_000;
+    const servers = ['north', 'north', 'east', 'south', 'west'].map((failureDomain, index) =>
+      createServer(`s${index + 1}`, { failureDomain }),
+    );
+    const sources = ['north', 'north', 'east', 'east', 'south', 'west'];
+    const ends = SEEDS.flatMap((seed) =>
+      replayStage(
+        generateArrivals({
+          seed,
+          ratePerS: 9,
+          durationMs: 20_000,
+          burstSize: 1,
+          task: (at, random) =>
+            createTask({
+              pieces: 9 + Math.floor(random() * 15),
+              inputBytes,
+              preferredDomain: sources[Math.floor(random() * sources.length)]!,
+              dueAt: at + 700,
+              expiresAt: at + 5000,
+            }),
+        }),
+        capacity,
+        servers,
+      ),
+    );
+    const allBytes = ends.reduce((sum, { task }) => sum + task.pieces * inputBytes, 0);
+    const remote = ends.reduce((sum, { remoteBytes }) => sum + remoteBytes, 0) / allBytes;
+    const onTime = ends.filter(({ outcome, latencyMs }) => outcome === 'done' && latencyMs <= 700);
+    assert.ok(remote < 1 / 3, `remote share: expected below a third, got ${remote.toFixed(2)}`);
+    assert.ok(onTime.length / ends.length > 0.99, 'tasks miss their objective');
+  });
 });
--- a/src/common/serving/StageQueue.ts
+++ b/src/common/serving/StageQueue.ts
@@ -15,15 +15,6 @@
   TaskOutcome,
 } from './Types.js';
 
-/** The servers as of one time. */
-interface ServerOverview {
-  /** On the clock, in ms. */
-  readonly now: number;
-  /** Servers that have not failed recently, including busy ones. */
-  readonly healthy: readonly StageServerState[];
-  readonly healthyDomains: ReadonlySet<string>;
-}
-
 /** Failed sends per piece, averaged over the task, above which the task fails. */
 const MAX_FAILURES_PER_PIECE = 4;
 
@@ -180,11 +171,10 @@
     if (!this.canStartCall) return [];
     const now = this.clock.now();
     const healthy = [...this.servers.values()].filter((state) => state.isHealthy(now));
-    const healthyDomains = new Set(healthy.map(({ server }) => server.failureDomain));
     const planned: PlannedCall[] = [];
     let queuedTasks = this.byUrgency(now);
     while (queuedTasks.length > 0) {
-      const call = this.planCall(queuedTasks, { now, healthy, healthyDomains });
+      const call = this.planCall(queuedTasks, healthy, now);
       if (!call) break;
       planned.push(call);
       queuedTasks = queuedTasks.filter(({ unassignedPieces }) => unassignedPieces.size > 0);
@@ -202,7 +192,8 @@
 
   private planCall(
     queuedTasks: readonly QueuedTask[],
-    { now, healthy, healthyDomains }: ServerOverview,
+    healthy: readonly StageServerState[],
+    now: number,
   ): PlannedCall | undefined {
     const { concurrentCalls } = this.capacity;
     const freeServers = healthy.filter((state) => state.isFree(now, concurrentCalls));
@@ -210,7 +201,8 @@
     const isFull = this.waitingPieces >= this.capacity.batchSize;
     const load = { now, serverCount: healthy.length, freeCount: freeServers.length };
     const mayStart = isFull || this.pacer.mayStart(load);
-    const context = { now, capacity: this.capacity, pieceTimes: this.pieceTimes, healthyDomains };
+    const domainFreeAt = freeTimesByDomain(healthy, now);
+    const context = { now, capacity: this.capacity, pieceTimes: this.pieceTimes, domainFreeAt };
     const candidate = mayStart ? selectCall(freeServers, queuedTasks, context) : undefined;
     return candidate && this.startCall(candidate.serverState, [...candidate.pieces], now);
   }
@@ -359,3 +351,16 @@
     this.waitingPieces -= unassignedPieces.size;
   }
 }
+
+/** @returns expected time at which a server is free, on the clock, by failure domain */
+function freeTimesByDomain(
+  servers: readonly StageServerState[],
+  now: number,
+): ReadonlyMap<string, number> {
+  const times = new Map<string, number>();
+  servers.forEach((state) => {
+    const { failureDomain } = state.server;
+    times.set(failureDomain, Math.min(times.get(failureDomain) ?? Infinity, state.freeAt(now)));
+  });
+  return times;
+}
