Keep the reads of the store by all processes together independent of the fleet

Change: the wait of a read grows with the number of processes, up to 25 s, so all processes together read as often as four do; one whose wait ends sooner notifies the others by its heartbeat, as before. Pauses after changes of member rows may last 5 s, since heartbeats announce processes too.

Measured by the new test: reads a second of 30 processes together stay within 1.2 times those of four.

--- a/src/serving/ServingProcess.ts
+++ b/src/serving/ServingProcess.ts
@@ -52,14 +52,14 @@
 }
 
 /**
- * Longest wait for changes of the configuration and of servers, in ms. The store charges for each
- * call, which rules out short waits. A silently lost connection is detected only after this time,
- * but a peer whose wait ends earlier notifies this process of changes.
+ * Reads of the configuration and of servers. The store charges for each call. A silently lost
+ * connection is detected only after the wait, but a peer whose wait ends earlier notifies this
+ * process. The pause is a third of the time in which changes must take effect.
  */
-const CHANGE_POLL_WAIT_MS = 3000;
+const CHANGE_WAITS = { waitMs: 3000, maxReadGapMs: 1000 };
 
-/** Longest wait for changes of the member rows, in ms; heartbeats also announce processes. */
-const MEMBER_POLL_WAIT_MS = 10_000;
+/** Reads of the member rows, which may be late because heartbeats also announce processes. */
+const MEMBER_WAITS = { waitMs: 10_000, maxReadGapMs: 5000 };
 
 /** Interval of checks for delayed removals of servers that have not registered again, in ms. */
 const REMOVAL_CHECK_INTERVAL_MS = 100;
@@ -281,17 +281,17 @@
     });
     const callers = parseAddress(settings.listen.callers);
     await this.ingress.listen(callers.ip, callers.port);
-    this.followers.follow(names.configurationTable, CHANGE_POLL_WAIT_MS, {
+    this.followers.follow(names.configurationTable, CHANGE_WAITS, {
       replaceAll: (rows) => this.applyConfiguration(rows),
       apply: (rows) => this.applyConfiguration(rows),
     });
-    this.followers.follow(names.serverTable, CHANGE_POLL_WAIT_MS, {
+    this.followers.follow(names.serverTable, CHANGE_WAITS, {
       replaceAll: (rows, version) => this.registrations.replaceAll(rows, version),
       apply: (rows, version) => this.registrations.apply(rows, version),
       onStoreReachable: () => this.registrations.markStoreReachable(),
       onStoreUnreachable: () => this.registrations.markStoreUnreachable(),
     });
-    this.followers.follow(names.memberTable, MEMBER_POLL_WAIT_MS, {
+    this.followers.follow(names.memberTable, MEMBER_WAITS, {
       replaceAll: (rows) => this.membership.replaceRows(rows),
       apply: (rows) => this.membership.applyRows(rows),
     });
--- a/src/serving/StoreFollowers.ts
+++ b/src/serving/StoreFollowers.ts
@@ -28,19 +28,19 @@
   /**
    * Follows a table until {@link dispose}.
    * @param table - name of the table
-   * @param waitMs - time that the store waits for a change, in ms
+   * @param waits - time that the store waits for a change, and the longest pause after one, in ms
    * @param listener - receives rows and, optionally, whether the store is reachable
    */
   follow(
     table: string,
-    waitMs: number,
+    waits: Pick<TableFollowerOptions, 'waitMs' | 'maxReadGapMs'>,
     listener: Partial<TableListener> & Pick<TableListener, 'replaceAll' | 'apply'>,
   ): void {
     const { logger, processCount, random } = this.services;
     const follower = new TableFollower({
       feed: this.openFeed(),
       table,
-      waitMs,
+      ...waits,
       listener: {
         onStoreReachable: () => undefined,
         onStoreUnreachable: () => undefined,
--- a/src/serving/TableFollower.test.ts
+++ b/src/serving/TableFollower.test.ts
@@ -25,26 +25,32 @@
   return { feed, calls };
 }
 
-test('reads a busy table at a low rate if many processes follow it', async () => {
-  // Guards against every process reading every change: the store charges for calls and limits them.
-  const { feed, calls } = createBusyFeed();
-  let applied = 0;
-  const follower = new TableFollower({
+/** @returns follower of the feed's table in a fleet of the given size */
+function createFollower(feed: RowFeed, processes: number, apply: () => void): TableFollower {
+  return new TableFollower({
     feed,
     table: 'servers',
     waitMs: 3000,
+    maxReadGapMs: 1000,
     listener: {
       replaceAll: () => undefined,
-      apply: () => {
-        applied += 1;
-      },
+      apply,
       onStoreReachable: () => undefined,
       onStoreUnreachable: () => undefined,
     },
     logger: createLogger('test', 'error', () => undefined),
-    processCount: () => 20,
+    processCount: () => processes,
     random: () => 0.5,
   });
+}
+
+test('reads a busy table at a low rate if many processes follow it', async () => {
+  // Guards against every process reading every change: the store charges for calls and limits them.
+  const { feed, calls } = createBusyFeed();
+  let applied = 0;
+  const follower = createFollower(feed, 20, () => {
+    applied += 1;
+  });
   const running = follower.run();
   await sleep(2000);
   assert.ok(applied > 0, 'expected at least one change to be applied, got none');
@@ -52,3 +58,29 @@
   follower.dispose();
   await running;
 });
+
+test('reads an idle table as often in a large fleet as in a small one, all processes together', async () => {
+  // Guards against calls that grow with the fleet while nothing changes.
+  const readsPerSecond = async (processes: number) => {
+    const waits: number[] = [];
+    const feed: RowFeed = {
+      ...createBusyFeed().feed,
+      changes: async (_table, version, { waitMs }) => {
+        waits.push(waitMs);
+        await sleep(CHANGE_MS);
+        return { ok: true, value: { kind: 'changes', page: { rows: [], version } } };
+      },
+    };
+    const follower = createFollower(feed, processes, () => undefined);
+    const running = follower.run();
+    await sleep(5 * CHANGE_MS);
+    follower.dispose();
+    await running;
+    assert.ok(waits.every((waitMs) => waitMs <= 30_000));
+    return (processes * 1000) / waits[0]!;
+  };
+  const small = await readsPerSecond(4);
+  assert.ok((await readsPerSecond(30)) < 1.2 * small);
+  // From about 33 processes on, the longest wait that the store allows limits the effect.
+  assert.ok((await readsPerSecond(68)) < 2.5 * small);
+});
--- a/src/serving/TableFollower.ts
+++ b/src/serving/TableFollower.ts
@@ -13,15 +13,22 @@
 const INITIAL_BACKOFF_MS = 100;
 const MAX_BACKOFF_MS = 800;
 
+/**
+ * Number of processes whose waits have the configured length. In larger fleets waits grow with the
+ * number of processes, up to {@link MAX_WAIT_MS}: the calls of all processes together then stay the
+ * same, and so does the time until one of them reads a change and notifies the others.
+ */
+const PROCESSES_WITH_SHORT_WAITS = 4;
+
+/** Longest wait for a change, in ms; the store allows 30 s. */
+const MAX_WAIT_MS = 25_000;
+
 /**
  * Wait after a change per process that follows the table, in ms. A change completes the pending
  * reads of all processes, and a process that reads it early notifies the others.
  */
 const READ_GAP_PER_PROCESS_MS = 50;
 
-/** Longest wait after a change, in ms: a third of the time in which changes must take effect. */
-const MAX_READ_GAP_MS = 1000;
-
 /** Receives the rows of a table and the state of the store. */
 export interface TableListener {
   /** Called with all rows of the table. */
@@ -39,10 +46,12 @@
   readonly feed: RowFeed;
   readonly table: string;
   /**
-   * Longest time that the store waits for a change before it responds, in ms. A connection that is
-   * silently lost is detected only after this time, so it bounds how late a change can arrive.
+   * Longest time that the store waits for a change before it responds, in ms, in a fleet of a few
+   * processes. A connection that is silently lost is detected only after the wait.
    */
   readonly waitMs: number;
+  /** Longest pause after a change before the next read, in ms. */
+  readonly maxReadGapMs: number;
   readonly listener: TableListener;
   readonly logger: Logger;
   /** @returns number of processes that follow the table and notify each other of changes */
@@ -85,9 +94,8 @@
   }
 
   private async readChanges(): Promise<PlatformError | undefined> {
-    const { feed, table, waitMs, listener, logger, random } = this.options;
-    // Waits differ in length, so that a process whose wait ends earlier notifies the others.
-    const pollWaitMs = Math.round(waitMs * (MIN_WAIT_SHARE + random() * (1 - MIN_WAIT_SHARE)));
+    const { feed, table, listener, logger } = this.options;
+    const pollWaitMs = this.pollWaitMs();
     const timeoutMs = pollWaitMs + READ_TIMEOUT_MS;
     const result = await feed.changes(table, this.version!, { waitMs: pollWaitMs, timeoutMs });
     if (!result.ok) return result.error;
@@ -104,12 +112,21 @@
     return undefined;
   }
 
+  /**
+   * Waits differ in length, so that a process whose wait ends earlier notifies the others.
+   * @returns time that the store may wait for a change, in ms
+   */
+  private pollWaitMs(): number {
+    const { waitMs, processCount, random } = this.options;
+    const fleetFactor = Math.max(1, processCount() / PROCESSES_WITH_SHORT_WAITS);
+    const longestMs = Math.max(waitMs, Math.min(MAX_WAIT_MS, waitMs * fleetFactor));
+    return Math.round(longestMs * (MIN_WAIT_SHARE + random() * (1 - MIN_WAIT_SHARE)));
+  }
+
   /** @returns wait before the next read, in ms, with jitter, so that processes take turns */
   private readGapMs(): number {
-    const { processCount, random } = this.options;
-    return (
-      Math.min(MAX_READ_GAP_MS, READ_GAP_PER_PROCESS_MS * processCount()) * (0.5 + random() / 2)
-    );
+    const { processCount, random, maxReadGapMs } = this.options;
+    return Math.min(maxReadGapMs, READ_GAP_PER_PROCESS_MS * processCount()) * (0.5 + random() / 2);
   }
 
   private recordSuccess(): void {
