End a stage that waits for its turn longer than its inputs are stored

Change: the task of a stage expires when a call could no longer start before the first of its inputs is dropped.

--- a/src/common/serving/StageGraph.ts
+++ b/src/common/serving/StageGraph.ts
@@ -20,6 +20,9 @@
 export class StageGraph {
   private readonly handles = new Map<number, readonly string[]>();
 
+  /** Time at which each stage completed, on the clock, in ms. */
+  private readonly completionTimes = new Map<number, number>();
+
   private readonly started = new Set<number>();
 
   /**
@@ -54,9 +57,25 @@
    * Records the results of a stage.
    * @param stage - index of the stage
    * @param handles - handles of the results, in the order of the pieces
+   * @param completedAt - time of completion, on the clock, in ms
    */
-  complete(stage: number, handles: readonly string[]): void {
+  complete(stage: number, handles: readonly string[], completedAt: number): void {
     this.handles.set(stage, handles);
+    this.completionTimes.set(stage, completedAt);
+  }
+
+  /**
+   * @param stage - index of a stage whose inputs are complete
+   * @param retentionMs - returns the time for which servers of a service store results, in ms
+   * @returns time until which all inputs are stored, on the clock, in ms; infinite without inputs
+   */
+  inputsStoredUntil(stage: number, retentionMs: (service: string) => number): number {
+    const sources = this.stages[stage]?.dependsOn ?? [];
+    const ends = sources.map((source) => {
+      const { service = '' } = this.stages[source] ?? {};
+      return (this.completionTimes.get(source) ?? Infinity) + retentionMs(service);
+    });
+    return Math.min(Infinity, ...ends);
   }
 
   /** Whether all stages are complete. */
--- a/src/serving/StageRunner.ts
+++ b/src/serving/StageRunner.ts
@@ -78,7 +78,7 @@
             cancellation.cancel();
             return;
           }
-          graph.complete(ready.stage, outcome.handles);
+          graph.complete(ready.stage, outcome.handles, this.services.clock.now());
           this.releaseConsumed(request, graph, ready.stage);
           if (!failure) await runReadyStages();
         }),
@@ -129,6 +129,9 @@
     const typicalRemainingMs = this.typicalRemainingMs(graph, ready.stage);
     const { pieceKey } = request.attributes;
     const minRemainingMs = this.minRemainingMs(graph, ready.stage);
+    const inputsStoredUntil = graph.inputsStoredUntil(ready.stage, (name) =>
+      this.retentionMs(name),
+    );
     const startedAt = clock.now();
     const outcome = await stageClient.run(
       service,
@@ -144,7 +147,11 @@
         ...(preferredDomain !== undefined && { preferredDomain }),
         priority: request.priority,
         dueAt: request.dueAt - typicalRemainingMs,
-        expiresAt: request.callerWaitsUntil - MIN_FIRST_EVENT_MS - minRemainingMs,
+        expiresAt: Math.min(
+          request.callerWaitsUntil - MIN_FIRST_EVENT_MS - minRemainingMs,
+          // A call reads its inputs at its start.
+          inputsStoredUntil + this.callMs(service),
+        ),
       },
       cancellation,
     );
@@ -171,6 +178,10 @@
     return this.services.routeTable()?.service(service)?.stage?.callMs ?? 0;
   }
 
+  private retentionMs(service: string): number {
+    return this.services.routeTable()?.service(service)?.stage?.resultRetentionMs ?? Infinity;
+  }
+
   private releaseConsumed(request: CallerRequest, graph: StageGraph, stage: number): void {
     graph.releasableAfter(stage).forEach((source) => {
       const service = request.route.stages[source]?.service;
