Name the value of the response that is dropped when memory is short

Cause: a new reader stumbled over a flag isFull that also meant released, a method that removed any number of bytes but was only used for all, and a split method; the reason of an evicted response named no value.

Change: wording and structure only; the reason names limit and value.

Measured: EventParser, EndlessResponse and ServersInTrouble pass.

--- a/src/common/response/EventParser.ts
+++ b/src/common/response/EventParser.ts
@@ -49,7 +49,7 @@
   private completeWith(part: Buffer): Buffer {
     if (this.incomplete.length === 0) return part;
     const event = Buffer.concat([this.incomplete.bytes, part]);
-    this.incomplete.discard(this.incomplete.length);
+    this.incomplete.clear();
     return event;
   }
 }
--- a/src/common/response/ResponseBuffer.ts
+++ b/src/common/response/ResponseBuffer.ts
@@ -19,7 +19,7 @@
 
   private size = 0;
 
-  private isFull = false;
+  private isClosed = false;
 
   private readonly allocation: ResponseAllocation;
 
@@ -33,9 +33,7 @@
     private readonly limit: SizeLimit,
     private readonly onOverflow: (reason: string) => void,
   ) {
-    this.allocation = memory.open(() =>
-      this.overflow('the largest of the responses that together exceed totalBytes'),
-    );
+    this.allocation = memory.open((reason) => this.overflow(reason));
   }
 
   /** Number of collected bytes. */
@@ -50,7 +48,7 @@
 
   /** Adds bytes; after an overflow they are dropped. */
   append(chunk: Buffer): void {
-    if (this.isFull || chunk.length === 0) return;
+    if (this.isClosed || chunk.length === 0) return;
     const size = this.size + chunk.length;
     if (size > this.limit.bytes) {
       this.overflow(
@@ -59,15 +57,14 @@
       return;
     }
     this.reserve(size);
-    if (this.isFull) return;
+    if (this.isClosed) return;
     chunk.copy(this.content, this.size);
     this.size = size;
   }
 
-  /** Removes the given number of bytes from the start. */
-  discard(count: number): void {
-    this.content.copyWithin(0, count, this.size);
-    this.size -= count;
+  /** Drops the collected bytes, but keeps the memory for the following ones. */
+  clear(): void {
+    this.size = 0;
   }
 
   /**
@@ -82,7 +79,7 @@
 
   /** Drops the bytes and returns the memory. */
   release(): void {
-    this.isFull = true;
+    this.isClosed = true;
     this.content = Buffer.alloc(0);
     this.size = 0;
     this.allocation.release();
@@ -92,14 +89,14 @@
     if (size <= this.content.length) return;
     const capacity = Math.max(INITIAL_CAPACITY, size, this.content.length * 2);
     this.allocation.resize(capacity);
-    if (this.isFull) return;
+    if (this.isClosed) return;
     const grown = Buffer.allocUnsafe(capacity);
     this.content.copy(grown, 0, 0, this.size);
     this.content = grown;
   }
 
   private overflow(reason: string): void {
-    if (this.isFull) return;
+    if (this.isClosed) return;
     this.release();
     this.onOverflow(reason);
   }
--- a/src/common/response/ResponseMemory.ts
+++ b/src/common/response/ResponseMemory.ts
@@ -11,7 +11,7 @@
 
 interface OpenAllocation {
   bytes: number;
-  readonly onEvicted: () => void;
+  readonly onEvicted: (reason: string) => void;
 }
 
 /**
@@ -35,10 +35,10 @@
   }
 
   /**
-   * @param onEvicted - called when the allocation is evicted; its bytes are already returned
+   * @param onEvicted - called with the reason when the allocation is evicted and its bytes returned
    * @returns an allocation without bytes
    */
-  open(onEvicted: () => void): ResponseAllocation {
+  open(onEvicted: (reason: string) => void): ResponseAllocation {
     const allocation: OpenAllocation = { bytes: 0, onEvicted };
     return {
       resize: (bytes) => this.resize(allocation, bytes),
@@ -53,8 +53,11 @@
     while (this.used > this.limitBytes) {
       const largest = this.largest();
       if (!largest) return;
+      const { bytes: evictedBytes, onEvicted } = largest;
       this.remove(largest);
-      largest.onEvicted();
+      onEvicted(
+        `responses exceed totalBytes of ${this.limitBytes} bytes together: the largest has ${evictedBytes}`,
+      );
     }
   }
 
--- a/src/serving/StageBatcher.ts
+++ b/src/serving/StageBatcher.ts
@@ -261,10 +261,6 @@
     const queue = this.queues.get(service);
     if (!queue) return;
     this.notifyListeners(service, queue.removeExpired());
-    this.startCalls(service, queue);
-  }
-
-  private startCalls(service: string, queue: StageQueue): void {
     this.release(queue.removeOrphans());
     queue.plan().forEach((call) => {
       this.sendCall(service, call).catch((error: unknown) =>
