Log the prompt parts and the progress of responses that were lost

Change: the line of a failed send names the prompt parts, the time to the head and the first event and the number of events. The lines about requests move from RequestRunner to RequestLog. No decision changes.

--- a/src/serving/BufferedCall.ts
+++ b/src/serving/BufferedCall.ts
@@ -24,6 +24,8 @@
   readonly timeoutMs: number;
   /** Aborts the exchange. */
   readonly cancellation?: Cancellation;
+  /** Called when the head of the response has arrived. */
+  readonly onHead?: () => void;
 }
 
 /**
@@ -57,7 +59,10 @@
     };
     const body = pool.createBuffer('bodyBytes', abort);
     exchange = pool.send(request, {
-      onHead: (status, headers) => Object.assign(head, { status, headers }),
+      onHead: (status, headers) => {
+        Object.assign(head, { status, headers });
+        options.onHead?.();
+      },
       onData: (chunk) => body.append(chunk),
       onEnd: () => settle({ kind: 'answered', ...head, body: body.finish() }),
       onFailure: ({ kind, message }) => fail(kind, message),
--- a/src/serving/BufferedForwarder.ts
+++ b/src/serving/BufferedForwarder.ts
@@ -41,7 +41,11 @@
       ...(request.body.length > 0 && { body: request.body }),
       needsNewConnection: !isRetryable(request),
     },
-    { timeoutMs, ...(cancellation && { cancellation }) },
+    {
+      timeoutMs,
+      ...(cancellation && { cancellation }),
+      ...(options.onHead && { onHead: options.onHead }),
+    },
   );
   if (response.kind === 'failed') {
     const { kind, message } = response.failure;
--- a/src/serving/ForwardOutcome.ts
+++ b/src/serving/ForwardOutcome.ts
@@ -27,6 +27,8 @@
 /** Options for forwarding a request to one backend server. */
 export interface ForwardOptions {
   readonly headers: readonly string[];
+  /** Called when the head of the response has arrived. */
+  readonly onHead?: () => void;
   /** Called on each event; the first one shows that the prefill of the prompt has ended. */
   readonly onEvent?: () => void;
   /** Id of the event after which a stream resumes. */
--- a/src/serving/RequestRunner.ts
+++ b/src/serving/RequestRunner.ts
@@ -13,6 +13,8 @@
 import { StreamForwarder, type StreamTimeouts } from './StreamForwarder.js';
 import type { PeerView } from './peers/PeerView.js';
 import { ForwardProgress } from './ForwardProgress.js';
+import { RequestLog } from './RequestLog.js';
+import { ResponseProgress } from './ResponseProgress.js';
 import type { RetryBudgets } from './RetryBudgets.js';
 import type { ServingMetrics } from './ServingMetrics.js';
 
@@ -84,7 +86,11 @@
     interrupted: (request, progress, { cause }) => this.retryOrFail(request, progress, cause),
   };
 
-  constructor(private readonly services: RequestRunnerServices) {}
+  private readonly log: RequestLog;
+
+  constructor(private readonly services: RequestRunnerServices) {
+    this.log = new RequestLog(services.logger, services.clock);
+  }
 
   /** Processes one request until its final response is sent or its caller has left. */
   async run(request: CallerRequest): Promise<void> {
@@ -174,12 +180,16 @@
       progress.recordSend(server.id);
       request.trace.recordStep(`to:${server.id}`, this.services.clock.now());
       request.trace.setMayHaveRun(true);
-      const outcome = await this.forward(request, server, progress, results, release);
+      const responseProgress = new ResponseProgress(this.services.clock);
+      const outcome = await this.forward(request, server, progress, results, {
+        release,
+        responseProgress,
+      });
       const hasNotRun = outcome.kind === 'unsent' || outcome.kind === 'not-executed';
       if (hasNotRun && progress.possibleRuns === 0) request.trace.setMayHaveRun(false);
       progress.recordOutcome(outcome);
       this.services.metrics.recordForward(service, outcome.kind);
-      this.logForward(request, server, outcome, progress);
+      this.log.recordForward(request, server, outcome, progress, responseProgress);
       const handler = this.handlers[outcome.kind] as (
         value: CallerRequest,
         state: ForwardProgress,
@@ -229,22 +239,26 @@
     server: BackendServer,
     progress: ForwardProgress,
     results: Extract<StageResults, { kind: 'done' }>,
-    release: () => void,
+    observers: { readonly release: () => void; readonly responseProgress: ResponseProgress },
   ): Promise<ForwardOutcome> {
     const { records, placement, clock } = this.services;
+    const { release, responseProgress } = observers;
     const { promptParts } = request.attributes;
     const tokens = placement.uncachedTokens(server.id, promptParts);
     if (promptParts.length > 0) placement.recordParts(server.id, promptParts);
     records.begin(server.id, tokens);
-    let isPrefilled = false;
     const markPrefilled = once(() => records.markPrefilled(server.id, tokens));
-    const options = this.forwardOptions(request, server, progress, results, () => {
-      if (!isPrefilled) request.trace.recordStep('first-event', clock.now());
-      isPrefilled = true;
-      markPrefilled();
-      // A stream that can resume at another server must be able to read its inputs there.
-      if (!this.canFailOver(request)) release();
-    });
+    const options: ForwardOptions = {
+      ...this.forwardOptions(request, server, progress, results),
+      onHead: () => responseProgress.recordHead(),
+      onEvent: () => {
+        if (responseProgress.events === 0) request.trace.recordStep('first-event', clock.now());
+        responseProgress.recordEvent();
+        markPrefilled();
+        // A stream that can resume at another server must be able to read its inputs there.
+        if (!this.canFailOver(request)) release();
+      },
+    };
     try {
       const outcome = await this.send(request, server, options);
       this.recordOutcome(server, outcome);
@@ -290,7 +304,6 @@
     server: BackendServer,
     progress: ForwardProgress,
     results: Extract<StageResults, { kind: 'done' }>,
-    onEvent: () => void,
   ): ForwardOptions {
     const inputs = results.results.map(({ handle }) => handle);
     const { lastEventId } = progress;
@@ -304,7 +317,6 @@
     });
     return {
       headers,
-      onEvent,
       ...(lastEventId !== undefined && { lastEventId }),
     };
   }
@@ -348,35 +360,9 @@
   }
 
   private refuse(request: CallerRequest, reason: string, retryAfterMs: number): void {
-    this.services.logger.info('request refused, not run', {
-      request: request.attributes.attemptId,
-      route: request.route.name,
-      reason,
-      retryAfterMs: Math.round(retryAfterMs),
-      ageMs: Math.round(this.services.clock.now() - request.receivedAt),
-      configurationVersion: request.configurationVersion,
-    });
+    this.log.recordRefusal(request, reason, retryAfterMs);
     request.response.sendError({ status: NOT_RUN_STATUS, reason, retryAfterMs });
   }
-
-  private logForward(
-    request: CallerRequest,
-    server: BackendServer,
-    outcome: ForwardOutcome,
-    progress: ForwardProgress,
-  ): void {
-    const isFailure = outcome.kind !== 'answered';
-    this.services.logger[isFailure ? 'info' : 'debug']('request forwarded', {
-      request: request.attributes.attemptId,
-      route: request.route.name,
-      server: server.id,
-      outcome: outcome.kind,
-      ...('cause' in outcome && { cause: outcome.cause }),
-      ...('status' in outcome && { status: outcome.status }),
-      send: progress.sends,
-      ageMs: Math.round(this.services.clock.now() - request.receivedAt),
-    });
-  }
 }
 
 function once(action: () => void): () => void {
--- /dev/null
+++ b/src/serving/ResponseProgress.ts
@@ -0,0 +1,48 @@
+import type { Clock } from '../common/time/Types.js';
+
+/** Tracks how far the response to one attempt to forward a request has come. */
+export class ResponseProgress {
+  private readonly sentAt: number;
+
+  private headAt: number | undefined;
+
+  private firstEventAt: number | undefined;
+
+  private eventCount = 0;
+
+  /** @param clock - time source; the attempt starts now */
+  constructor(private readonly clock: Clock) {
+    this.sentAt = clock.now();
+  }
+
+  /** Number of events that were forwarded to the caller. */
+  get events(): number {
+    return this.eventCount;
+  }
+
+  /** Time since the attempt started, in ms. */
+  get runMs(): number {
+    return this.clock.now() - this.sentAt;
+  }
+
+  /** Time from the start of the attempt to the head of the response, in ms. */
+  get headMs(): number | undefined {
+    return this.headAt === undefined ? undefined : this.headAt - this.sentAt;
+  }
+
+  /** Time from the start of the attempt to the first event, in ms. */
+  get firstEventMs(): number | undefined {
+    return this.firstEventAt === undefined ? undefined : this.firstEventAt - this.sentAt;
+  }
+
+  /** Called when the head of the response has arrived. */
+  recordHead(): void {
+    this.headAt ??= this.clock.now();
+  }
+
+  /** Called for each event that is forwarded. */
+  recordEvent(): void {
+    this.firstEventAt ??= this.clock.now();
+    this.eventCount += 1;
+  }
+}
--- a/src/serving/StreamForwarder.ts
+++ b/src/serving/StreamForwarder.ts
@@ -96,6 +96,7 @@
   onHead(status: number, headers: string[]): void {
     this.status = status;
     this.headers = headers;
+    this.options.onHead?.();
     this.attributes = this.services.protocol.parseResponse(headers);
     const { attemptId, isSigned, hasContentCoding } = this.attributes;
     const limit = this.isSuccess ? 'eventBytes' : 'errorBodyBytes';
