Refuse requests with a prompt part that crashes servers

Cause: no process connected the end of a server with the prompts whose responses were just beginning there, so every such request was placed on the next engine. Each process sees only the crashes under its own requests.

Change: CrashingParts attributes a crash to the shared part of the lost requests whose last complete response is the oldest. After three crashes of different servers that only this part explains, requests with it are refused at once with 503, at admission, before each send and before each retry or resumed stream. Heartbeats carry the evidence, the table crashing_parts keeps it over restarts. A complete response with a part clears it.

Why this works: a part that crashes every server is never completed, while the parts it shares requests with are completed elsewhere all the time.

--- a/src/serving/BufferedCall.ts
+++ b/src/serving/BufferedCall.ts
@@ -51,11 +51,10 @@
       body.release();
       resolve(response);
     };
-    const fail = (kind: ExchangeFailure['kind'], message: string) =>
-      settle({ kind: 'failed', failure: { kind, message } });
+    const fail = (failure: ExchangeFailure) => settle({ kind: 'failed', failure });
     const abort = (message: string) => {
       exchange?.abort();
-      fail('broken', message);
+      fail({ kind: 'broken', message, isConnectionLost: false });
     };
     const body = pool.createBuffer('bodyBytes', abort);
     exchange = pool.send(request, {
@@ -65,10 +64,14 @@
       },
       onData: (chunk) => body.append(chunk),
       onEnd: () => settle({ kind: 'answered', ...head, body: body.finish() }),
-      onFailure: ({ kind, message }) => fail(kind, message),
+      onFailure: fail,
     });
     if (!exchange) {
-      fail('unsent', 'all connections in the share of this process are in use');
+      fail({
+        kind: 'unsent',
+        message: 'all connections in the share of this process are in use',
+        isConnectionLost: false,
+      });
       return;
     }
     timer = setTimeout(
--- a/src/serving/BufferedForwarder.ts
+++ b/src/serving/BufferedForwarder.ts
@@ -48,9 +48,9 @@
     },
   );
   if (response.kind === 'failed') {
-    const { kind, message } = response.failure;
+    const { kind, message, isConnectionLost } = response.failure;
     if (cancellation?.isCancelled) return { kind: 'cancelled' };
-    return { kind, cause: message };
+    return { kind, cause: message, isConnectionLost };
   }
   const { status, headers, body } = response;
   const attributes = protocol.parseResponse(headers);
@@ -58,7 +58,11 @@
   const matchesAttempt = attributes.attemptId === request.attributes.attemptId;
   const isSuccess = status >= 200 && status < 300;
   if (!matchesAttempt || attributes.hasContentCoding || (isSuccess && !attributes.isSigned)) {
-    return { kind: 'broken', cause: `answer of another request or not whole (status ${status})` };
+    return {
+      kind: 'broken',
+      cause: `answer of another request or not whole (status ${status})`,
+      isConnectionLost: false,
+    };
   }
   if (isServerError(status)) return { kind: 'server-error', status, headers, body };
   request.response.sendComplete(status, headers, body);
--- a/src/serving/ForwardOutcome.ts
+++ b/src/serving/ForwardOutcome.ts
@@ -7,7 +7,12 @@
   /** The server reported that it did not run the request. */
   | { readonly kind: 'not-executed'; readonly status: number }
   /** The request was sent and may have run, but there is no valid response. */
-  | { readonly kind: 'broken'; readonly cause: string }
+  | {
+      readonly kind: 'broken';
+      readonly cause: string;
+      /** Whether the server closed or reset the connection, as it also does when it ends. */
+      readonly isConnectionLost: boolean;
+    }
   /** The server ran the request and responded with a failure of its own. */
   | {
       readonly kind: 'server-error';
@@ -20,6 +25,8 @@
       readonly kind: 'interrupted';
       readonly lastEventId: string | undefined;
       readonly cause: string;
+      /** As of `broken`. */
+      readonly isConnectionLost: boolean;
     }
   /** The request was cancelled: the caller left or the deadline passed. */
   | { readonly kind: 'cancelled' };
@@ -39,3 +46,8 @@
 export function isServerError(status: number): boolean {
   return status >= 500;
 }
+
+/** Whether the status reports a success. */
+export function isSuccess(status: number): boolean {
+  return status >= 200 && status < 300;
+}
--- a/src/serving/RequestLog.ts
+++ b/src/serving/RequestLog.ts
@@ -6,6 +6,13 @@
 import type { ForwardProgress } from './ForwardProgress.js';
 import type { ResponseProgress } from './ResponseProgress.js';
 
+/** Why a request is refused before a server runs it, and when it may be sent again. */
+export interface Refusal {
+  readonly reason: string;
+  /** In ms. */
+  readonly retryAfterMs: number;
+}
+
 /** Maximum number of prompt parts in a log line. */
 const MAX_LOGGED_PARTS = 8;
 
--- a/src/serving/RequestRunner.ts
+++ b/src/serving/RequestRunner.ts
@@ -13,7 +13,8 @@
 import { StreamForwarder, type StreamTimeouts } from './StreamForwarder.js';
 import type { PeerView } from './peers/PeerView.js';
 import { ForwardProgress } from './ForwardProgress.js';
-import { RequestLog } from './RequestLog.js';
+import type { PromptGuard } from './PromptGuard.js';
+import { RequestLog, type Refusal } from './RequestLog.js';
 import { ResponseProgress } from './ResponseProgress.js';
 import type { RetryBudgets } from './RetryBudgets.js';
 import type { ServingMetrics } from './ServingMetrics.js';
@@ -48,6 +49,7 @@
   readonly directory: ServerDirectory;
   readonly records: ServerRecords;
   readonly placement: EnginePlacement;
+  readonly promptGuard: PromptGuard;
   readonly stageRunner: StageRunner;
   readonly retryBudgets: RetryBudgets;
   readonly peerView: PeerView;
@@ -96,7 +98,7 @@
   async run(request: CallerRequest): Promise<void> {
     const service = this.chooseService(request);
     this.services.retryBudgets.of(service).recordRequest();
-    const refusal = this.admissionRefusal(request);
+    const refusal = this.services.promptGuard.refusalOf(request) ?? this.admissionRefusal(request);
     if (refusal) {
       this.refuse(request, refusal.reason, refusal.retryAfterMs);
       return;
@@ -115,9 +117,7 @@
    * Refuses a request that cannot finish in time before any backend server works on it.
    * @returns reason of the refusal; undefined to admit the request
    */
-  private admissionRefusal(
-    request: CallerRequest,
-  ): { reason: string; retryAfterMs: number } | undefined {
+  private admissionRefusal(request: CallerRequest): Refusal | undefined {
     const { peerView, stageRunner, clock } = this.services;
     const neededStages = request.route.stages.filter(
       (_, index) => (request.attributes.pieceCounts[index] ?? 0) > 0,
@@ -170,6 +170,11 @@
     const progress = new ForwardProgress(request.attributes.lastEventId);
     let nextStep: NextStep = 'retry';
     while (nextStep === 'retry') {
+      const refusal = this.services.promptGuard.refusalOf(request);
+      if (refusal) {
+        this.sendFailure(request, progress, refusal.reason, refusal.retryAfterMs);
+        return;
+      }
       const server = this.chooseServer(request, service, progress.triedServerIds, results);
       const mayRetry =
         progress.deliveries === 0 || this.services.retryBudgets.of(service).trySpend();
@@ -262,6 +267,7 @@
     try {
       const outcome = await this.send(request, server, options);
       this.recordOutcome(server, outcome);
+      this.services.promptGuard.recordOutcome(request, server, outcome, responseProgress);
       return outcome;
     } finally {
       markPrefilled();
@@ -344,7 +350,12 @@
   }
 
   /** Sends the final response of a request that is not sent to any further server. */
-  private sendFailure(request: CallerRequest, progress: ForwardProgress, reason: string): void {
+  private sendFailure(
+    request: CallerRequest,
+    progress: ForwardProgress,
+    reason: string,
+    retryAfterMs = progress.sends > 0 ? FULL_RETRY_MS : NO_SERVER_RETRY_MS,
+  ): void {
     const { response } = request;
     if (response.hasStarted) {
       response.abort();
@@ -356,7 +367,7 @@
       return;
     }
     if (progress.possibleRuns > 0) response.sendError({ status: UNKNOWN_OUTCOME_STATUS, reason });
-    else this.refuse(request, reason, progress.sends > 0 ? FULL_RETRY_MS : NO_SERVER_RETRY_MS);
+    else this.refuse(request, reason, retryAfterMs);
   }
 
   private refuse(request: CallerRequest, reason: string, retryAfterMs: number): void {
--- a/src/serving/ResponseProgress.ts
+++ b/src/serving/ResponseProgress.ts
@@ -1,5 +1,8 @@
 import type { Clock } from '../common/time/Types.js';
 
+/** Time after the first event in which a response counts as beginning, in ms. */
+const BEGINNING_MS = 500;
+
 /** Tracks how far the response to one attempt to forward a request has come. */
 export class ResponseProgress {
   private readonly sentAt: number;
@@ -20,6 +23,11 @@
     return this.eventCount;
   }
 
+  /** Whether no event was forwarded yet, or the first one only just now. */
+  get isBeginning(): boolean {
+    return this.firstEventAt === undefined || this.clock.now() - this.firstEventAt < BEGINNING_MS;
+  }
+
   /** Time since the attempt started, in ms. */
   get runMs(): number {
     return this.clock.now() - this.sentAt;
--- a/src/serving/ServerConnectionPool.ts
+++ b/src/serving/ServerConnectionPool.ts
@@ -45,6 +45,8 @@
 export interface ExchangeFailure {
   readonly kind: 'unsent' | 'broken';
   readonly message: string;
+  /** Whether the server closed or reset the connection, as it also does when it ends. */
+  readonly isConnectionLost: boolean;
 }
 
 /** Receives the parts of a response. */
@@ -193,8 +195,8 @@
       this.release(connection, isReusable);
       report();
     };
-    const fail = (message: string) =>
-      finish(false, () => listener.onFailure({ kind: 'broken', message }));
+    const fail = (message: string, isConnectionLost = false) =>
+      finish(false, () => listener.onFailure({ kind: 'broken', message, isConnectionLost }));
     // The parser reports neither blank lines nor the framing of chunks, which may come without end.
     const framingCheck = setInterval(() => {
       const framingBytes = connection.receivedBytes - receivedBefore - bodyBytes;
@@ -232,14 +234,14 @@
         },
         onResponseEnd: () => {
           const { hasFailed } = connection;
-          finish(!hasFailed, () => {
-            if (hasFailed) listener.onFailure({ kind: 'broken', message: 'connection reset' });
-            else listener.onEnd();
-          });
+          if (hasFailed) fail('connection reset', true);
+          else finish(true, () => listener.onEnd());
         },
         onResponseError: (_current, error) => {
+          const isConnectionLost = isSent && CONNECTION_LOST_CODES.has(errorCode(error));
           const kind = isSent ? 'broken' : 'unsent';
-          finish(false, () => listener.onFailure({ kind, message: error.message }));
+          const { message } = error;
+          finish(false, () => listener.onFailure({ kind, message, isConnectionLost }));
         },
       },
     );
@@ -263,6 +265,17 @@
   }
 }
 
+/** Codes of errors that are caused by the server's end of the connection. */
+const CONNECTION_LOST_CODES: ReadonlySet<string> = new Set([
+  'UND_ERR_SOCKET',
+  'ECONNRESET',
+  'EPIPE',
+]);
+
+function errorCode(error: Error): string {
+  return 'code' in error ? String(error.code) : '';
+}
+
 function decodeHeaders(headers: unknown): string[] {
   return Array.isArray(headers) ? headers.map((part) => part.toString('latin1')) : [];
 }
--- a/src/serving/ServingMetrics.ts
+++ b/src/serving/ServingMetrics.ts
@@ -1,6 +1,9 @@
 import type { Counter, Histogram } from '@opentelemetry/api';
 import type { Metrics } from '../telemetry/Metrics.js';
 
+/** Reasons of refusals that are counted. */
+export type RefusalReason = 'crashing-prompt';
+
 /** Counters and histograms of a serving process. */
 export class ServingMetrics {
   private readonly requests: Counter;
@@ -11,6 +14,8 @@
 
   private readonly stages: Histogram;
 
+  private readonly refusals: Counter;
+
   constructor({ meter }: Metrics) {
     this.requests = meter.createCounter('requests', { description: 'Requests by final status' });
     this.durations = meter.createHistogram('request_duration', {
@@ -18,6 +23,9 @@
       description: 'Time from a request to its final answer',
     });
     this.outcomes = meter.createCounter('forwards', { description: 'Forwards by outcome' });
+    this.refusals = meter.createCounter('refusals', {
+      description: 'Requests refused as not run, by reason',
+    });
     this.stages = meter.createHistogram('stage_duration', {
       unit: 'ms',
       description: 'Time from asking for a stage to its results',
@@ -42,6 +50,11 @@
     this.outcomes.add(1, { service, outcome });
   }
 
+  /** @param reason - why requests are refused before a server runs them */
+  recordRefusal(reason: RefusalReason): void {
+    this.refusals.add(1, { reason });
+  }
+
   /**
    * @param service - stage service
    * @param outcome - kind of the outcome
--- a/src/serving/ServingProcess.ts
+++ b/src/serving/ServingProcess.ts
@@ -1,26 +1,25 @@
 import { createServer, type Server } from 'node:http';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { ResponseMemory } from '../common/response/ResponseMemory.js';
+import { CrashingParts } from '../common/serving/CrashingParts.js';
 import { EnginePlacement } from '../common/serving/EnginePlacement.js';
 import { ServerRecords } from '../common/serving/ServerRecords.js';
 import { ServerDirectory } from '../common/serving/ServerDirectory.js';
-import type { Clock } from '../common/time/Types.js';
-import type { FeedRow, RowFeed } from '../storage/RowFeed.js';
-import type { Logger } from '../telemetry/Logger.js';
-import type { Metrics } from '../telemetry/Metrics.js';
+import type { FeedRow } from '../storage/RowFeed.js';
 import { ConfigurationView } from './ConfigurationView.js';
+import { CrashingPartTable } from './CrashingPartTable.js';
 import { BackendConnections } from './BackendConnections.js';
 import { Ingress } from './Ingress.js';
+import { PromptGuard } from './PromptGuard.js';
 import { RegistrationView } from './RegistrationView.js';
 import { RequestRunner } from './RequestRunner.js';
 import { RetryBudgets } from './RetryBudgets.js';
 import { ServingMetrics } from './ServingMetrics.js';
-import type { ServingSettings } from './ServingSettings.js';
+import type { ServingProcessOptions } from './ServingProcessOptions.js';
 import { StageBatcher } from './StageBatcher.js';
 import { StageClient, toStageTask } from './StageClient.js';
 import { StageRunner } from './StageRunner.js';
 import { StoreFollowers } from './StoreFollowers.js';
-import type { RowDecoder, ServingProtocol } from './Types.js';
 import { ChannelServer } from './peers/ChannelServer.js';
 import { Membership } from './peers/Membership.js';
 import type { Heartbeat } from './peers/PeerMessages.js';
@@ -29,28 +28,6 @@
 import { PeerServer } from './peers/PeerServer.js';
 import { PeerView } from './peers/PeerView.js';
 
-/** Names of tables and keys in the store. */
-export interface StoreNames {
-  readonly configurationTable: string;
-  readonly configurationKey: string;
-  readonly serverTable: string;
-  readonly memberTable: string;
-}
-
-/** Settings and platform-specific parts of a {@link ServingProcess}. */
-export interface ServingProcessOptions {
-  readonly settings: ServingSettings;
-  readonly protocol: ServingProtocol;
-  readonly decoder: RowDecoder;
-  readonly names: StoreNames;
-  /** Opens a connection to the store; each follower uses a separate one. */
-  readonly createFeed: (address: string) => RowFeed;
-  readonly clock: Clock;
-  readonly random: () => number;
-  readonly logger: Logger;
-  readonly metrics: Metrics;
-}
-
 /**
  * Reads of the configuration and of servers. The store charges for each call. A silently lost
  * connection is detected only after the wait, but a peer whose wait ends earlier notifies this
@@ -58,8 +35,8 @@
  */
 const CHANGE_WAITS = { waitMs: 3000, maxReadGapMs: 1000 };
 
-/** Reads of the member rows, which may be late because heartbeats also announce processes. */
-const MEMBER_WAITS = { waitMs: 10_000, maxReadGapMs: 5000 };
+/** Reads of rows that may be late, because heartbeats also carry what they say. */
+const HEARTBEAT_BACKED_WAITS = { waitMs: 10_000, maxReadGapMs: 5000 };
 
 /** Interval of checks for delayed removals of servers that have not registered again, in ms. */
 const REMOVAL_CHECK_INTERVAL_MS = 100;
@@ -97,6 +74,10 @@
 
   private readonly serverRecords: ServerRecords;
 
+  private readonly crashingParts: CrashingParts;
+
+  private readonly crashingPartTable: CrashingPartTable;
+
   private readonly ingress: Ingress;
 
   private readonly readinessServer: Server;
@@ -129,6 +110,7 @@
     );
     this.peerView = new PeerView(clock, () => this.createHeartbeat());
     this.serverRecords = new ServerRecords(clock);
+    this.crashingParts = new CrashingParts(clock);
     const { ratio, slack, windowSeconds } = settings.retryBudget;
     const processCount = () => this.peerView.processCount;
     const allowance = { ratio, slack, windowMs: windowSeconds * 1000 };
@@ -174,6 +156,7 @@
       placement,
       stageRunner,
       retryBudgets,
+      promptGuard: new PromptGuard(clock, this.crashingParts, servingMetrics),
       peerView: this.peerView,
       random: options.random,
     });
@@ -226,6 +209,15 @@
       peerView: this.peerView,
       configuration: this.configuration,
       registrations: this.registrations,
+      crashingParts: this.crashingParts,
+    });
+    this.crashingPartTable = new CrashingPartTable({
+      table: options.names.crashingPartTable,
+      feed: this.followers.openFeed(),
+      clock,
+      logger,
+      random: options.random,
+      crashingParts: this.crashingParts,
     });
     this.peerServer = new PeerServer({
       ip: settings.ip,
@@ -291,10 +283,14 @@
       onStoreReachable: () => this.registrations.markStoreReachable(),
       onStoreUnreachable: () => this.registrations.markStoreUnreachable(),
     });
-    this.followers.follow(names.memberTable, MEMBER_WAITS, {
+    this.followers.follow(names.memberTable, HEARTBEAT_BACKED_WAITS, {
       replaceAll: (rows) => this.membership.replaceRows(rows),
       apply: (rows) => this.membership.applyRows(rows),
     });
+    this.followers.follow(names.crashingPartTable, HEARTBEAT_BACKED_WAITS, {
+      replaceAll: (rows) => this.crashingPartTable.replaceAll(rows),
+      apply: (rows) => this.crashingPartTable.apply(rows),
+    });
     this.removalTimer = setInterval(() => this.expireRemovals(), REMOVAL_CHECK_INTERVAL_MS);
     this.membership
       .announce()
@@ -337,6 +333,7 @@
   async dispose(): Promise<void> {
     clearInterval(this.removalTimer);
     this.membership.dispose();
+    this.crashingPartTable.dispose();
     this.peerServer.dispose();
     this.channelServer.dispose();
     this.peerClients.dispose();
@@ -390,6 +387,7 @@
       serverDigest: this.registrations.digest,
       backlogs: Object.fromEntries(this.batcher.backlogs()),
       engines: this.serverRecords.engineLoads(),
+      crashEvidence: this.crashingParts.evidence,
     };
   }
 }
--- a/src/serving/StreamForwarder.ts
+++ b/src/serving/StreamForwarder.ts
@@ -5,7 +5,12 @@
 import { isRetryable, type CallerRequest } from './CallerRequest.js';
 import { isServerError, type ForwardOptions, type ForwardOutcome } from './ForwardOutcome.js';
 import type { ForwardServices } from './BufferedForwarder.js';
-import type { Exchange, ExchangeListener, ServerConnectionPool } from './ServerConnectionPool.js';
+import type {
+  Exchange,
+  ExchangeFailure,
+  ExchangeListener,
+  ServerConnectionPool,
+} from './ServerConnectionPool.js';
 import type { ResponseAttributes } from './Types.js';
 
 /** Time-outs after which a stream that can resume at another server is aborted. */
@@ -100,12 +105,11 @@
     this.attributes = this.services.protocol.parseResponse(headers);
     const { attemptId, isSigned, hasContentCoding } = this.attributes;
     const limit = this.isSuccess ? 'eventBytes' : 'errorBodyBytes';
-    this.buffer = this.pool?.createBuffer(limit, (reason) => this.fail(reason, true));
+    this.buffer = this.pool?.createBuffer(limit, (reason) => this.abort(reason));
     if (!this.isSuccess || !this.buffer) return;
     this.parser = new EventParser(this.buffer);
     const matchesAttempt = attemptId === this.request.attributes.attemptId;
-    if (!matchesAttempt || !isSigned || hasContentCoding)
-      this.fail('answer of another request', true);
+    if (!matchesAttempt || !isSigned || hasContentCoding) this.abort('answer of another request');
   }
 
   onData(chunk: Buffer): void {
@@ -121,7 +125,7 @@
     const remainder = Buffer.from(this.parser.remainder);
     // Without a length or chunked framing, only an incomplete last event shows a truncated body.
     if (remainder.length > 0 && !this.attributes?.isFramed) {
-      this.fail('stream ended within an event', false);
+      this.finish(this.lossOutcome('stream ended within an event', true), false);
       return;
     }
     this.request.response.start(this.status, this.headers);
@@ -130,9 +134,9 @@
     this.finish({ kind: 'answered', status: this.status }, false);
   }
 
-  onFailure({ kind, message }: { kind: 'unsent' | 'broken'; message: string }): void {
+  onFailure({ kind, message, isConnectionLost }: ExchangeFailure): void {
     if (kind === 'unsent') this.finish({ kind, cause: message }, false);
-    else this.fail(message, false);
+    else this.finish(this.lossOutcome(message, isConnectionLost), false);
   }
 
   private get isSuccess(): boolean {
@@ -164,7 +168,11 @@
     if (this.attributes?.isNotExecuted) return { kind: 'not-executed', status };
     const matchesAttempt = this.attributes?.attemptId === this.request.attributes.attemptId;
     if (!matchesAttempt)
-      return { kind: 'broken', cause: `answer of another request (status ${status})` };
+      return {
+        kind: 'broken',
+        cause: `answer of another request (status ${status})`,
+        isConnectionLost: false,
+      };
     const body = this.buffer?.finish() ?? Buffer.alloc(0);
     if (isServerError(status) || this.hasForwardedEvents) {
       return { kind: 'server-error', status, headers, body };
@@ -173,18 +181,22 @@
     return { kind: 'answered', status };
   }
 
-  /** @param mustAbort - whether the exchange is still in progress */
-  private fail(cause: string, mustAbort: boolean): void {
-    const outcome: ForwardOutcome = this.hasForwardedEvents
-      ? { kind: 'interrupted', lastEventId: this.lastEventId, cause }
-      : { kind: 'broken', cause };
-    this.finish(outcome, mustAbort);
+  /** @returns outcome of a stream that ended before it was complete */
+  private lossOutcome(cause: string, isConnectionLost: boolean): ForwardOutcome {
+    return this.hasForwardedEvents
+      ? { kind: 'interrupted', lastEventId: this.lastEventId, cause, isConnectionLost }
+      : { kind: 'broken', cause, isConnectionLost };
+  }
+
+  /** Ends the exchange, which is still in progress. */
+  private abort(cause: string): void {
+    this.finish(this.lossOutcome(cause, false), true);
   }
 
   private restartTimer(timeoutMs: number | undefined): void {
     clearTimeout(this.timer);
     if (timeoutMs === undefined) return;
-    this.timer = setTimeout(() => this.fail(`no event in ${timeoutMs} ms`, true), timeoutMs);
+    this.timer = setTimeout(() => this.abort(`no event in ${timeoutMs} ms`), timeoutMs);
   }
 
   private finish(outcome: ForwardOutcome, mustAbort: boolean): void {
--- a/src/serving/peers/Membership.ts
+++ b/src/serving/peers/Membership.ts
@@ -1,4 +1,5 @@
 import { setTimeout as sleep } from 'node:timers/promises';
+import type { CrashingParts } from '../../common/serving/CrashingParts.js';
 import type { FeedRow, RowFeed } from '../../storage/RowFeed.js';
 import type { Logger } from '../../telemetry/Logger.js';
 import type { ConfigurationView } from '../ConfigurationView.js';
@@ -24,6 +25,7 @@
   readonly peerView: PeerView;
   readonly configuration: ConfigurationView;
   readonly registrations: RegistrationView;
+  readonly crashingParts: CrashingParts;
 }
 
 /**
@@ -80,8 +82,9 @@
 
   /** Processes a heartbeat and copies newer configuration and registrations from its sender. */
   handleHeartbeat(heartbeat: Heartbeat): void {
-    const { peerView, configuration, registrations } = this.services;
+    const { peerView, configuration, registrations, crashingParts } = this.services;
     peerView.recordHeartbeat(heartbeat);
+    crashingParts.merge(heartbeat.crashEvidence);
     // The heartbeat of a peer may arrive before its row has been read.
     if (!this.members.has(heartbeat.id)) this.members.set(heartbeat.id, heartbeat.address);
     if (heartbeat.configurationVersion > configuration.version) this.pullConfiguration(heartbeat);
--- a/src/serving/peers/PeerMessages.ts
+++ b/src/serving/peers/PeerMessages.ts
@@ -1,5 +1,6 @@
 /** Messages between serving processes. */
 import { z } from 'zod';
+import { CrashEvidence } from '../../common/serving/CrashingParts.js';
 import type { TaskOutcome } from '../../common/serving/Types.js';
 
 /** State of a process, which it sends to all others several times a second, as one datagram. */
@@ -25,6 +26,8 @@
   backlogs: z.record(z.string(), z.number()),
   /** Sender's load on each engine: running requests, and prompt tokens not yet prefilled. */
   engines: z.record(z.string(), z.tuple([z.number(), z.number()])),
+  /** What the sender knows about prompt parts that crash servers; older versions send none. */
+  crashEvidence: CrashEvidence.default({ crashes: [], completed: {} }),
 });
 export type Heartbeat = z.infer<typeof Heartbeat>;
 
--- a/src/serving/peers/testing/fixtures.ts
+++ b/src/serving/peers/testing/fixtures.ts
@@ -15,6 +15,7 @@
     serverDigest: 0,
     backlogs: {},
     engines: {},
+    crashEvidence: { crashes: [], completed: {} },
     ...overrides,
   };
 }
