Treat a stream that ends within or before its first event as broken off

Callers saw: a stream whose server ended within an event reached them as a complete success if its framing was intact, and one without any framing whose server ended before the first event as an empty success.

Cause: an incomplete last event counted as the end of the stream if the response had a length or chunks, and an empty body without framing as complete.

Change: bytes after the last complete event always mean that the stream broke off, and so does the end of an unframed response before its first event. It is then resumed at another server or its connection is closed.

--- a/src/serving/StreamForwarder.ts
+++ b/src/serving/StreamForwarder.ts
@@ -13,6 +13,8 @@
 } from './ServerConnectionPool.js';
 import type { ResponseAttributes } from './Types.js';
 
+const LINE_END = 0x0a;
+
 /** Time-outs after which a stream that can resume at another server is aborted. */
 export interface StreamTimeouts {
   /** Time to the first event, in ms; undefined to wait until the deadline of the request. */
@@ -40,8 +42,12 @@
 
   private attributes: ResponseAttributes | undefined;
 
+  /** Whether the caller has received events, also of earlier runs. */
   private hasForwardedEvents: boolean;
 
+  /** Whether this run has sent events. */
+  private hasReceivedEvents = false;
+
   private lastEventId: string | undefined;
 
   private timer: NodeJS.Timeout | undefined;
@@ -123,11 +129,15 @@
       return;
     }
     const remainder = Buffer.from(this.parser.remainder);
-    // Without a length or chunked framing, only an incomplete last event shows a truncated body.
-    if (remainder.length > 0 && !this.attributes?.isFramed) {
+    if (remainder.some((byte) => byte !== LINE_END)) {
       this.finish(this.lossOutcome('stream ended within an event', true), false);
       return;
     }
+    // Without a length or chunked framing, a server that ends before the first event looks the same.
+    if (!this.hasReceivedEvents && !this.attributes?.isFramed) {
+      this.finish(this.lossOutcome('stream ended without an event', true), false);
+      return;
+    }
     this.request.response.start(this.status, this.headers);
     if (remainder.length > 0) this.request.response.write(remainder);
     this.request.response.end();
@@ -144,6 +154,7 @@
   }
 
   private forwardEvent({ bytes, id, hasData }: StreamEvent): void {
+    this.hasReceivedEvents = true;
     if (this.isDuplicate(id)) return;
     // Comments and repeated events are no progress: a stalled server may keep sending them.
     if (hasData) this.restartTimer(this.timeouts.nextEventMs);
