Log the limits that servers name in their responses

Cause: the logs of second1 show neither that an engine named a limit nor which process was told, so a limit that nobody reads can't be told from one that each process keeps by itself.

Change: the header is decoded, ServerLimits records it from every response, those to stage calls included, and a change is logged. What is observed about servers moves to ServerObservations. No decision changes.

--- a/src/serving/ServerConnectionPool.ts
+++ b/src/serving/ServerConnectionPool.ts
@@ -72,11 +72,23 @@
   resume(): void;
 }
 
-/** Limits that all pools of a process share. */
+/** Observes all requests to backend servers, also the system's own, and their responses. */
+export interface TrafficObserver {
+  /** Called before a request is sent. */
+  onRequest(server: BackendServer): void;
+  /**
+   * Called with the head of each final response.
+   * @param headers - names and values alternating
+   */
+  onResponse(server: BackendServer, headers: readonly string[]): void;
+}
+
+/** Limits and observers that all pools of a process share. */
 export interface PoolLimits {
   readonly responses: ResponseLimits;
   /** Memory of all responses that the process buffers. */
   readonly memory: ResponseMemory;
+  readonly traffic?: TrafficObserver;
 }
 
 /** Pool of connections to one backend server, each used by one request at a time. */
@@ -186,7 +198,8 @@
     let controller: Dispatcher.DispatchController | undefined;
     let informationalCount = 0;
     let bodyBytes = 0;
-    const { responses } = this.limits;
+    const { responses, traffic } = this.limits;
+    traffic?.onRequest(this.server);
     const receivedBefore = connection.receivedBytes;
     const finish = (isReusable: boolean, report: () => void) => {
       if (hasEnded) return;
@@ -226,7 +239,9 @@
             fail(`more than ${responses.informationalResponses} informational responses`);
             return;
           }
-          listener.onHead(status, decodeHeaders(current.rawHeaders));
+          const headers = decodeHeaders(current.rawHeaders);
+          traffic?.onResponse(this.server, headers);
+          listener.onHead(status, headers);
         },
         onResponseData: (_current, chunk) => {
           bodyBytes += chunk.length;
--- a/src/serving/ServingProcess.ts
+++ b/src/serving/ServingProcess.ts
@@ -1,9 +1,7 @@
 import { createServer, type Server } from 'node:http';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { ResponseMemory } from '../common/response/ResponseMemory.js';
-import { CrashingParts } from '../common/serving/CrashingParts.js';
 import { EnginePlacement } from '../common/serving/EnginePlacement.js';
-import { ServerRecords } from '../common/serving/ServerRecords.js';
 import { ServerDirectory } from '../common/serving/ServerDirectory.js';
 import type { FeedRow } from '../storage/RowFeed.js';
 import { ConfigurationView } from './ConfigurationView.js';
@@ -14,6 +12,7 @@
 import { RegistrationView } from './RegistrationView.js';
 import { RequestRunner } from './RequestRunner.js';
 import { RetryBudgets } from './RetryBudgets.js';
+import { ServerObservations } from './ServerObservations.js';
 import { ServingMetrics } from './ServingMetrics.js';
 import type { ServingProcessOptions } from './ServingProcessOptions.js';
 import { StageBatcher } from './StageBatcher.js';
@@ -72,9 +71,7 @@
 
   private readonly channelServer: ChannelServer;
 
-  private readonly serverRecords: ServerRecords;
-
-  private readonly crashingParts: CrashingParts;
+  private readonly observations: ServerObservations;
 
   private readonly crashingPartTable: CrashingPartTable;
 
@@ -109,8 +106,8 @@
       this.batcher.updateServers(),
     );
     this.peerView = new PeerView(clock, () => this.createHeartbeat());
-    this.serverRecords = new ServerRecords(clock);
-    this.crashingParts = new CrashingParts(clock);
+    this.observations = new ServerObservations(clock, logger);
+    const { records, limits, crashingParts } = this.observations;
     const { ratio, slack, windowSeconds } = settings.retryBudget;
     const processCount = () => this.peerView.processCount;
     const allowance = { ratio, slack, windowMs: windowSeconds * 1000 };
@@ -121,6 +118,11 @@
       processCount,
       responses: settings.responseLimits,
       memory: new ResponseMemory(settings.responseLimits.totalBytes),
+      traffic: {
+        onRequest: () => undefined,
+        onResponse: (server, headers) =>
+          limits.recordResponse(server.id, protocol.parseResponse(headers).requestsPerS),
+      },
     });
     const { connections } = this;
     const commonServices = {
@@ -147,16 +149,16 @@
       metrics: servingMetrics,
       routeTable,
     });
-    const placement = new EnginePlacement(clock, this.serverRecords);
+    const placement = new EnginePlacement(clock, records);
     const runner = new RequestRunner({
       ...commonServices,
       metrics: servingMetrics,
       failureDomain: settings.failureDomain,
-      records: this.serverRecords,
+      records,
       placement,
       stageRunner,
       retryBudgets,
-      promptGuard: new PromptGuard(clock, this.crashingParts, servingMetrics),
+      promptGuard: new PromptGuard(clock, crashingParts, servingMetrics),
       peerView: this.peerView,
       random: options.random,
     });
@@ -172,7 +174,7 @@
     this.directory.onRemoved((server) => {
       logger.info('backend server gone', { server: server.id, service: server.service });
       connections.disconnect(server);
-      this.serverRecords.forget(server.id);
+      this.observations.forget(server.id);
       placement.forget(server.id);
     });
     this.directory.onChanged((server) => {
@@ -209,7 +211,7 @@
       peerView: this.peerView,
       configuration: this.configuration,
       registrations: this.registrations,
-      crashingParts: this.crashingParts,
+      observations: this.observations,
     });
     this.crashingPartTable = new CrashingPartTable({
       table: options.names.crashingPartTable,
@@ -217,7 +219,7 @@
       clock,
       logger,
       random: options.random,
-      crashingParts: this.crashingParts,
+      crashingParts,
     });
     this.peerServer = new PeerServer({
       ip: settings.ip,
@@ -386,8 +388,7 @@
       serverVersion: this.registrations.version,
       serverDigest: this.registrations.digest,
       backlogs: Object.fromEntries(this.batcher.backlogs()),
-      engines: this.serverRecords.engineLoads(),
-      crashEvidence: this.crashingParts.evidence,
+      ...this.observations.heartbeat,
     };
   }
 }
--- a/src/serving/Types.ts
+++ b/src/serving/Types.ts
@@ -50,6 +50,8 @@
   readonly hasContentCoding: boolean;
   /** Whether a content length or chunked framing marks the end of the body. */
   readonly isFramed: boolean;
+  /** Requests per second that the server takes from all processes together; absent if unlimited. */
+  readonly requestsPerS?: number;
 }
 
 /** A call that the system itself makes to a backend server. */
--- a/src/serving/peers/Membership.ts
+++ b/src/serving/peers/Membership.ts
@@ -1,9 +1,9 @@
 import { setTimeout as sleep } from 'node:timers/promises';
-import type { CrashingParts } from '../../common/serving/CrashingParts.js';
 import type { FeedRow, RowFeed } from '../../storage/RowFeed.js';
 import type { Logger } from '../../telemetry/Logger.js';
 import type { ConfigurationView } from '../ConfigurationView.js';
 import type { RegistrationView } from '../RegistrationView.js';
+import type { ServerObservations } from '../ServerObservations.js';
 import type { PeerClients } from './PeerClients.js';
 import { MemberRow, type Heartbeat } from './PeerMessages.js';
 import type { PeerView } from './PeerView.js';
@@ -25,7 +25,7 @@
   readonly peerView: PeerView;
   readonly configuration: ConfigurationView;
   readonly registrations: RegistrationView;
-  readonly crashingParts: CrashingParts;
+  readonly observations: ServerObservations;
 }
 
 /**
@@ -82,9 +82,9 @@
 
   /** Processes a heartbeat and copies newer configuration and registrations from its sender. */
   handleHeartbeat(heartbeat: Heartbeat): void {
-    const { peerView, configuration, registrations, crashingParts } = this.services;
+    const { peerView, configuration, registrations, observations } = this.services;
     peerView.recordHeartbeat(heartbeat);
-    crashingParts.merge(heartbeat.crashEvidence);
+    observations.merge(heartbeat);
     // The heartbeat of a peer may arrive before its row has been read.
     if (!this.members.has(heartbeat.id)) this.members.set(heartbeat.id, heartbeat.address);
     if (heartbeat.configurationVersion > configuration.version) this.pullConfiguration(heartbeat);
