--- a/src/serving/RequestRunner.ts
+++ b/src/serving/RequestRunner.ts
@@ -1,7 +1,5 @@
 import type { EnginePlacement } from '../common/serving/EnginePlacement.js';
-import type { RouteTable } from '../common/serving/RouteTable.js';
-import { choosePlainServer, type ServerRecords } from '../common/serving/ServerRecords.js';
-import type { ServerDirectory } from '../common/serving/ServerDirectory.js';
+import type { ServerRecords } from '../common/serving/ServerRecords.js';
 import type { BackendServer } from '../common/serving/ServingConfiguration.js';
 import type { Logger } from '../telemetry/Logger.js';
 import { isRetryable, type CallerRequest } from './CallerRequest.js';
@@ -17,6 +15,7 @@
 import { RequestLog, type Refusal } from './RequestLog.js';
 import { ResponseProgress } from './ResponseProgress.js';
 import type { RetryBudgets } from './RetryBudgets.js';
+import type { ServerSelection } from './ServerSelection.js';
 import type { ServingMetrics } from './ServingMetrics.js';
 
 /** Maximum number of attempts to send one request, including those that fail to connect. */
@@ -45,15 +44,13 @@
 export interface RequestRunnerServices extends ForwardServices {
   readonly logger: Logger;
   readonly metrics: ServingMetrics;
-  readonly failureDomain: string;
-  readonly directory: ServerDirectory;
+  readonly selection: ServerSelection;
   readonly records: ServerRecords;
   readonly placement: EnginePlacement;
   readonly promptGuard: PromptGuard;
   readonly stageRunner: StageRunner;
   readonly retryBudgets: RetryBudgets;
   readonly peerView: PeerView;
-  readonly routeTable: () => RouteTable | undefined;
   readonly random: () => number;
 }
 
@@ -142,7 +139,8 @@
     }
     const results = await this.services.stageRunner.run(
       request,
-      this.engineDomain(request, service),
+      // The engine that would be chosen now.
+      this.services.selection.choose(request, service, new Set(), [])?.failureDomain,
     );
     if (request.cancellation.isCancelled) {
       if (results.kind === 'done') results.release();
@@ -155,18 +153,13 @@
     return undefined;
   }
 
-  /** @returns failure domain of the engine that would be chosen for the request now */
-  private engineDomain(request: CallerRequest, service: string): string | undefined {
-    const results = { kind: 'done', results: [], release: () => undefined } as const;
-    return this.chooseServer(request, service, new Set(), results)?.failureDomain;
-  }
-
   private async forwardWithRetries(
     request: CallerRequest,
     service: string,
     results: Extract<StageResults, { kind: 'done' }>,
     release: () => void,
   ): Promise<void> {
+    const { selection } = this.services;
     const progress = new ForwardProgress(request.attributes.lastEventId);
     let nextStep: NextStep = 'retry';
     while (nextStep === 'retry') {
@@ -175,7 +168,7 @@
         this.sendFailure(request, progress, refusal.reason, refusal.retryAfterMs);
         return;
       }
-      const server = this.chooseServer(request, service, progress.triedServerIds, results);
+      const server = selection.choose(request, service, progress.triedServerIds, results.results);
       const mayRetry =
         progress.deliveries === 0 || this.services.retryBudgets.of(service).trySpend();
       if (!server || progress.sends >= MAX_SEND_ATTEMPTS || !mayRetry) {
@@ -216,29 +209,6 @@
     return (chosen ?? first)!.service;
   }
 
-  private chooseServer(
-    request: CallerRequest,
-    service: string,
-    triedServerIds: ReadonlySet<string>,
-    results: Extract<StageResults, { kind: 'done' }>,
-  ): BackendServer | undefined {
-    const { directory, records, placement, failureDomain, random, protocol, peerView } =
-      this.services;
-    const usable = directory.usable(service);
-    const untried = usable.filter(({ id }) => !triedServerIds.has(id));
-    const candidates = records.healthy(untried.length > 0 ? untried : usable);
-    const isEngine = this.services.routeTable()?.service(service)?.engine !== undefined;
-    if (!isEngine) return choosePlainServer(candidates, records, failureDomain, random);
-    return placement.choose(candidates, {
-      promptParts: request.attributes.promptParts,
-      results: results.results.flatMap(({ handle, bytes }) => {
-        const resultServer = directory.findByAddress(protocol.addressOfResult(handle));
-        return resultServer ? [{ failureDomain: resultServer.failureDomain, bytes }] : [];
-      }),
-      reportedLoad: (id) => peerView.engineLoad(id),
-    });
-  }
-
   private async forward(
     request: CallerRequest,
     server: BackendServer,
--- /dev/null
+++ b/src/serving/ServerSelection.ts
@@ -0,0 +1,61 @@
+import type { EnginePlacement } from '../common/serving/EnginePlacement.js';
+import type { RouteTable } from '../common/serving/RouteTable.js';
+import type { ServerDirectory } from '../common/serving/ServerDirectory.js';
+import { choosePlainServer, type ServerRecords } from '../common/serving/ServerRecords.js';
+import type { BackendServer } from '../common/serving/ServingConfiguration.js';
+import type { CallerRequest } from './CallerRequest.js';
+import type { ServingProtocol } from './Types.js';
+import type { PeerView } from './peers/PeerView.js';
+
+/** Dependencies of {@link ServerSelection}. */
+export interface ServerSelectionServices {
+  readonly protocol: ServingProtocol;
+  readonly failureDomain: string;
+  readonly directory: ServerDirectory;
+  readonly records: ServerRecords;
+  readonly placement: EnginePlacement;
+  readonly peerView: PeerView;
+  readonly routeTable: () => RouteTable | undefined;
+  readonly random: () => number;
+}
+
+/** Stage results that a request reads. */
+export interface StoredResult {
+  readonly handle: string;
+  readonly bytes: number;
+}
+
+/** Chooses the backend servers of callers' requests. */
+export class ServerSelection {
+  constructor(private readonly services: ServerSelectionServices) {}
+
+  /**
+   * @param request - caller's request
+   * @param service - service that runs it
+   * @param triedServerIds - servers that are chosen only if there is no other one
+   * @param results - stage results that the request reads
+   * @returns the server to send the request to now; undefined if there is none
+   */
+  choose(
+    request: CallerRequest,
+    service: string,
+    triedServerIds: ReadonlySet<string>,
+    results: readonly StoredResult[],
+  ): BackendServer | undefined {
+    const { directory, records, placement, failureDomain, random, protocol, peerView } =
+      this.services;
+    const usable = directory.usable(service);
+    const untried = usable.filter(({ id }) => !triedServerIds.has(id));
+    const candidates = records.healthy(untried.length > 0 ? untried : usable);
+    const isEngine = this.services.routeTable()?.service(service)?.engine !== undefined;
+    if (!isEngine) return choosePlainServer(candidates, records, failureDomain, random);
+    return placement.choose(candidates, {
+      promptParts: request.attributes.promptParts,
+      results: results.flatMap(({ handle, bytes }) => {
+        const resultServer = directory.findByAddress(protocol.addressOfResult(handle));
+        return resultServer ? [{ failureDomain: resultServer.failureDomain, bytes }] : [];
+      }),
+      reportedLoad: (id) => peerView.engineLoad(id),
+    });
+  }
+}
--- a/src/serving/ServingProcess.ts
+++ b/src/serving/ServingProcess.ts
@@ -1,23 +1,20 @@
 import { createServer, type Server } from 'node:http';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { ResponseMemory } from '../common/response/ResponseMemory.js';
-import { EnginePlacement } from '../common/serving/EnginePlacement.js';
 import { ServerDirectory } from '../common/serving/ServerDirectory.js';
 import type { FeedRow } from '../storage/RowFeed.js';
 import { ConfigurationView } from './ConfigurationView.js';
 import { CrashingPartTable } from './CrashingPartTable.js';
 import { BackendConnections } from './BackendConnections.js';
 import { Ingress } from './Ingress.js';
-import { PromptGuard } from './PromptGuard.js';
 import { RegistrationView } from './RegistrationView.js';
-import { RequestRunner } from './RequestRunner.js';
 import { RetryBudgets } from './RetryBudgets.js';
 import { ServerObservations } from './ServerObservations.js';
 import { ServingMetrics } from './ServingMetrics.js';
 import type { ServingProcessOptions } from './ServingProcessOptions.js';
 import { StageBatcher } from './StageBatcher.js';
 import { StageClient, toStageTask } from './StageClient.js';
-import { StageRunner } from './StageRunner.js';
+import { createRequestRunner } from './createRequestRunner.js';
 import { StoreFollowers } from './StoreFollowers.js';
 import { ChannelServer } from './peers/ChannelServer.js';
 import { Membership } from './peers/Membership.js';
@@ -107,7 +104,7 @@
     );
     this.peerView = new PeerView(clock, () => this.createHeartbeat());
     this.observations = new ServerObservations(clock, logger);
-    const { records, limits, crashingParts } = this.observations;
+    const { limits, crashingParts } = this.observations;
     const { ratio, slack, windowSeconds } = settings.retryBudget;
     const processCount = () => this.peerView.processCount;
     const allowance = { ratio, slack, windowMs: windowSeconds * 1000 };
@@ -143,22 +140,13 @@
       peerView: this.peerView,
     });
     const servingMetrics = new ServingMetrics(metrics);
-    const stageRunner = new StageRunner({
-      clock,
-      stageClient,
-      metrics: servingMetrics,
-      routeTable,
-    });
-    const placement = new EnginePlacement(clock, records);
-    const runner = new RequestRunner({
+    const runner = createRequestRunner({
       ...commonServices,
       metrics: servingMetrics,
       failureDomain: settings.failureDomain,
-      records,
-      placement,
-      stageRunner,
+      observations: this.observations,
+      stageClient,
       retryBudgets,
-      promptGuard: new PromptGuard(clock, crashingParts, servingMetrics),
       peerView: this.peerView,
       random: options.random,
     });
@@ -175,7 +163,6 @@
       logger.info('backend server gone', { server: server.id, service: server.service });
       connections.disconnect(server);
       this.observations.forget(server.id);
-      placement.forget(server.id);
     });
     this.directory.onChanged((server) => {
       const { id, service, isDraining, address } = server;
