Keep the requests to a server within the limit that it names

Cause: no process read the limit, so load alone decided how many requests a limited server got.

Change: ServerLimits keeps the newest limit of each server from all responses; heartbeats carry it. Processes share it: the first four by hash of the server's id, more for higher limits, and for a stage server its batching process. Every request spends from the share, whatever its path: streams, calls, retries, stage calls and releases. Servers without room are not chosen; if all servers of a service have none, requests are refused at once with the time to return.

Why this works: the shares add up to the limit, and few processes can save up one request each, so a window holds even when all of them use it at once.

--- a/src/common/serving/StageQueue.test.ts
+++ b/src/common/serving/StageQueue.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 import fc from 'fast-check';
+import { ServerLimits } from './ServerLimits.js';
 import { StageQueue } from './StageQueue.js';
 import type { CallOutcome, EndedTask, PlannedCall } from './Types.js';
 import { ManualClock } from './testing/ManualClock.js';
@@ -12,9 +13,10 @@
 function createQueue(options: { servers?: number; mayRetry?: boolean; batchSize?: number } = {}) {
   const clock = new ManualClock();
   const { servers = 1, mayRetry = true, batchSize = 12 } = options;
-  const queue = new StageQueue(clock, createCapacity({ batchSize }), () => mayRetry);
+  const limits = new ServerLimits(clock, () => 1);
+  const queue = new StageQueue(clock, createCapacity({ batchSize }), () => mayRetry, limits);
   queue.updateServers(Array.from({ length: servers }, (_, index) => createServer(`s${index + 1}`)));
-  return { clock, queue };
+  return { clock, queue, limits };
 }
 
 function answer(call: PlannedCall): CallOutcome {
@@ -47,6 +49,23 @@
     assert.deepEqual(handlesOf(second), [`1-${second}-0`, `1-${second}-1`]);
   });
 
+  it('plans no call for a server at its limit, and expects a longer backlog because of it', () => {
+    const { clock, queue, limits } = createQueue({ servers: 2, batchSize: 1 });
+    for (let index = 0; index < 10; index += 1) queue.add(createTask());
+    const backlogMs = queue.backlogMs;
+    limits.recordResponse('s1', 0.5);
+    assert.ok(queue.backlogMs > 1.5 * backlogMs);
+    assert.deepEqual(
+      queue.plan().map(({ server }) => server.id),
+      ['s2'],
+    );
+    clock.set(2000);
+    assert.deepEqual(
+      queue.plan().map(({ server }) => server.id),
+      ['s1'],
+    );
+  });
+
   it('does not send pieces whose results exceed the memory of the server', () => {
     // Guards against calls whose pieces return without a result for lack of memory.
     const { queue } = createQueue();
--- a/src/common/serving/StageQueue.ts
+++ b/src/common/serving/StageQueue.ts
@@ -2,6 +2,7 @@
 import { selectCall } from './CallSelection.js';
 import { CallPacer } from './CallPacer.js';
 import { PieceTimeEstimator } from './PieceTimeEstimator.js';
+import type { ServerLimits } from './ServerLimits.js';
 import { StageServerState } from './StageServerState.js';
 import type { BackendServer, StageCapacity } from './ServingConfiguration.js';
 import type {
@@ -21,6 +22,11 @@
 /** Returns whether the given number of pieces may be sent again. */
 export type RetryPermission = (pieces: number) => boolean;
 
+/** Limits on the calls to each server. */
+export type CallLimits = Pick<ServerLimits, 'mayRequest' | 'requestsPerS'>;
+
+const MS_PER_SECOND = 1000;
+
 /**
  * Batches the pieces of one stage service into calls.
  *
@@ -56,11 +62,13 @@
    * @param clock - time source
    * @param capacity - capacity of each server of the service
    * @param mayRetry - called before pieces are sent again after a failure
+   * @param limits - limits on the calls to each server
    */
   constructor(
     private readonly clock: Clock,
     private capacity: StageCapacity,
     private readonly mayRetry: RetryPermission,
+    private readonly limits: CallLimits,
   ) {
     this.pieceTimes = new PieceTimeEstimator(() => this.capacity);
   }
@@ -123,9 +131,7 @@
   /** Whether pieces wait and a server could run a call now. */
   get canStartCall(): boolean {
     if (this.waitingPieces === 0) return false;
-    const now = this.clock.now();
-    const { concurrentCalls } = this.capacity;
-    return [...this.servers.values()].some((state) => state.isFree(now, concurrentCalls));
+    return this.freeServers([...this.servers.values()], []).length > 0;
   }
 
   /** Whether no task waits or runs. */
@@ -138,7 +144,7 @@
     const healthy = [...this.servers.values()].filter((state) => state.isHealthy(this.clock.now()));
     if (healthy.length === 0) return this.capacity.callMs;
     const { batchSize } = this.capacity;
-    const batches = this.waitingPieceCount / (batchSize * healthy.length);
+    const batches = this.waitingPieceCount / (batchSize * this.effectiveCount(healthy));
     return batches * this.callMs(batchSize);
   }
 
@@ -150,9 +156,9 @@
   removeExpired(): EndedTask[] {
     if (this.waitingPieces === 0) return [];
     const now = this.clock.now();
-    const healthyCount = [...this.servers.values()].filter((state) => state.isHealthy(now)).length;
-    const piecesPerMs =
-      (Math.max(1, healthyCount) * this.capacity.batchSize) / this.callMs(this.capacity.batchSize);
+    const healthy = [...this.servers.values()].filter((state) => state.isHealthy(now));
+    const servers = healthy.length > 0 ? this.effectiveCount(healthy) : 1;
+    const piecesPerMs = (servers * this.capacity.batchSize) / this.callMs(this.capacity.batchSize);
     let piecesAhead = 0;
     const expired = this.byUrgency(now).filter(({ task, unassignedPieces }) => {
       const startsInMs = piecesAhead / piecesPerMs;
@@ -174,7 +180,7 @@
     const planned: PlannedCall[] = [];
     let queuedTasks = this.byUrgency(now);
     while (queuedTasks.length > 0) {
-      const call = this.planCall(queuedTasks, healthy, now);
+      const call = this.planCall(queuedTasks, healthy, planned);
       if (!call) break;
       planned.push(call);
       queuedTasks = queuedTasks.filter(({ unassignedPieces }) => unassignedPieces.size > 0);
@@ -193,10 +199,10 @@
   private planCall(
     queuedTasks: readonly QueuedTask[],
     healthy: readonly StageServerState[],
-    now: number,
+    planned: readonly PlannedCall[],
   ): PlannedCall | undefined {
-    const { concurrentCalls } = this.capacity;
-    const freeServers = healthy.filter((state) => state.isFree(now, concurrentCalls));
+    const now = this.clock.now();
+    const freeServers = this.freeServers(healthy, planned);
     if (freeServers.length === 0) return undefined;
     const isFull = this.waitingPieces >= this.capacity.batchSize;
     const load = { now, serverCount: healthy.length, freeCount: freeServers.length };
@@ -242,6 +248,33 @@
     this.servers.get(serverId)?.release(handles);
   }
 
+  /** @returns servers that may get a call besides the planned ones */
+  private freeServers(
+    servers: readonly StageServerState[],
+    planned: readonly PlannedCall[],
+  ): StageServerState[] {
+    const now = this.clock.now();
+    const { concurrentCalls } = this.capacity;
+    return servers.filter((state) => {
+      const plannedHere = planned.filter(({ server }) => server.id === state.server.id).length;
+      return (
+        state.isFree(now, concurrentCalls) && this.limits.mayRequest(state.server, plannedHere)
+      );
+    });
+  }
+
+  /** @returns number of servers without a limit that could run as many calls; above 0 */
+  private effectiveCount(servers: readonly StageServerState[]): number {
+    const callSeconds = this.callMs(this.capacity.batchSize) / MS_PER_SECOND;
+    const shares = servers.map(({ server }) =>
+      Math.min(1, (this.limits.requestsPerS(server.id) ?? Infinity) * callSeconds),
+    );
+    return Math.max(
+      Number.EPSILON,
+      shares.reduce((sum, share) => sum + share, 0),
+    );
+  }
+
   /** @returns configured duration of a call, in ms */
   private callMs(pieces: number): number {
     return this.capacity.callMs + pieces * this.capacity.pieceMs;
--- a/src/serving/RequestRunner.ts
+++ b/src/serving/RequestRunner.ts
@@ -95,7 +95,8 @@
   async run(request: CallerRequest): Promise<void> {
     const service = this.chooseService(request);
     this.services.retryBudgets.of(service).recordRequest();
-    const refusal = this.services.promptGuard.refusalOf(request) ?? this.admissionRefusal(request);
+    const refusal =
+      this.services.promptGuard.refusalOf(request) ?? this.admissionRefusal(request, service);
     if (refusal) {
       this.refuse(request, refusal.reason, refusal.retryAfterMs);
       return;
@@ -114,19 +115,24 @@
    * Refuses a request that cannot finish in time before any backend server works on it.
    * @returns reason of the refusal; undefined to admit the request
    */
-  private admissionRefusal(request: CallerRequest): Refusal | undefined {
-    const { peerView, stageRunner, clock } = this.services;
+  private admissionRefusal(request: CallerRequest, service: string): Refusal | undefined {
+    const { peerView, stageRunner, selection, clock } = this.services;
     const neededStages = request.route.stages.filter(
       (_, index) => (request.attributes.pieceCounts[index] ?? 0) > 0,
     );
     const backlogMs = Math.max(
       0,
-      ...neededStages.map(({ service }) => peerView.backlogOf(service)),
+      ...neededStages.map((stage) => peerView.backlogOf(stage.service)),
     );
-    const neededMs = backlogMs + stageRunner.minDurationMs(request) + MIN_FIRST_EVENT_MS;
+    const stagesMs = stageRunner.minDurationMs(request);
+    const neededMs = backlogMs + stagesMs + MIN_FIRST_EVENT_MS;
     const remainingMs = request.callerWaitsUntil - clock.now();
-    if (neededStages.length === 0 || neededMs <= remainingMs) return undefined;
-    return { reason: 'stages are overloaded', retryAfterMs: neededMs - remainingMs };
+    if (neededStages.length === 0) return undefined;
+    if (neededMs > remainingMs) {
+      return { reason: 'stages are overloaded', retryAfterMs: neededMs - remainingMs };
+    }
+    const limitWaitMs = selection.limitWaitMs(service) ?? 0;
+    return limitWaitMs > stagesMs ? this.limitRefusal(limitWaitMs) : undefined;
   }
 
   private async runStages(
@@ -171,8 +177,13 @@
       const server = selection.choose(request, service, progress.triedServerIds, results.results);
       const mayRetry =
         progress.deliveries === 0 || this.services.retryBudgets.of(service).trySpend();
-      if (!server || progress.sends >= MAX_SEND_ATTEMPTS || !mayRetry) {
-        this.sendFailure(request, progress, server ? 'repeats exhausted' : 'no usable server');
+      if (!server) {
+        const { reason, retryAfterMs } = this.selectionRefusal(service, progress);
+        this.sendFailure(request, progress, reason, retryAfterMs);
+        return;
+      }
+      if (progress.sends >= MAX_SEND_ATTEMPTS || !mayRetry) {
+        this.sendFailure(request, progress, 'repeats exhausted');
         return;
       }
       progress.recordSend(server.id);
@@ -197,6 +208,22 @@
     }
   }
 
+  /** @returns why no server of the service can be chosen now */
+  private selectionRefusal(service: string, progress: ForwardProgress): Refusal {
+    const limitWaitMs = this.services.selection.limitWaitMs(service) ?? 0;
+    if (limitWaitMs === 0) {
+      return { reason: 'no usable server', retryAfterMs: retryAfterMsOf(progress) };
+    }
+    return this.limitRefusal(limitWaitMs);
+  }
+
+  private limitRefusal(limitWaitMs: number): Refusal {
+    this.services.metrics.recordRefusal('server-limit');
+    // Callers that are refused at the same time should not all return at the same time.
+    const retryAfterMs = FULL_RETRY_MS + limitWaitMs * (1 + this.services.random());
+    return { reason: 'all servers are at their limits', retryAfterMs };
+  }
+
   private chooseService({ route, id }: CallerRequest): string {
     const total = route.targets.reduce((sum, { weight }) => sum + weight, 0);
     let point = this.services.random() * total;
@@ -324,7 +351,7 @@
     request: CallerRequest,
     progress: ForwardProgress,
     reason: string,
-    retryAfterMs = progress.sends > 0 ? FULL_RETRY_MS : NO_SERVER_RETRY_MS,
+    retryAfterMs = retryAfterMsOf(progress),
   ): void {
     const { response } = request;
     if (response.hasStarted) {
@@ -346,6 +373,11 @@
   }
 }
 
+/** @returns time after which a caller should retry if no server can be chosen, in ms */
+function retryAfterMsOf({ sends }: ForwardProgress): number {
+  return sends > 0 ? FULL_RETRY_MS : NO_SERVER_RETRY_MS;
+}
+
 function once(action: () => void): () => void {
   let isDone = false;
   return () => {
--- a/src/serving/ServerObservations.ts
+++ b/src/serving/ServerObservations.ts
@@ -1,6 +1,7 @@
 import { CrashingParts } from '../common/serving/CrashingParts.js';
 import { ServerLimits } from '../common/serving/ServerLimits.js';
 import { ServerRecords } from '../common/serving/ServerRecords.js';
+import type { BackendServer } from '../common/serving/ServingConfiguration.js';
 import type { Clock } from '../common/time/Types.js';
 import type { Logger } from '../telemetry/Logger.js';
 import type { Heartbeat } from './peers/PeerMessages.js';
@@ -16,22 +17,32 @@
   /**
    * @param clock - time source
    * @param logger - logs limits that servers name
+   * @param limitShareOf - returns this process's share of a server's limit, 0 to 1
    */
-  constructor(clock: Clock, logger: Logger) {
+  constructor(
+    clock: Clock,
+    logger: Logger,
+    limitShareOf: (server: BackendServer, requestsPerS: number) => number,
+  ) {
     this.records = new ServerRecords(clock);
-    this.limits = new ServerLimits(clock);
+    this.limits = new ServerLimits(clock, limitShareOf);
     this.crashingParts = new CrashingParts(clock);
     this.limits.onChanged((change) => logger.info('server limit changed', { ...change }));
   }
 
   /** The part of a heartbeat that peers {@link merge}. */
-  get heartbeat(): Pick<Heartbeat, 'engines' | 'crashEvidence'> {
-    return { engines: this.records.engineLoads(), crashEvidence: this.crashingParts.evidence };
+  get heartbeat(): Pick<Heartbeat, 'engines' | 'crashEvidence' | 'serverLimits'> {
+    return {
+      engines: this.records.engineLoads(),
+      crashEvidence: this.crashingParts.evidence,
+      serverLimits: this.limits.reports,
+    };
   }
 
   /** Adds what a peer has observed. */
-  merge({ crashEvidence }: Heartbeat): void {
+  merge({ crashEvidence, serverLimits }: Heartbeat): void {
     this.crashingParts.merge(crashEvidence);
+    this.limits.merge(serverLimits);
   }
 
   /** Discards what belongs to a server that was removed or has restarted. */
--- a/src/serving/ServingProcess.ts
+++ b/src/serving/ServingProcess.ts
@@ -2,6 +2,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { ResponseMemory } from '../common/response/ResponseMemory.js';
 import { ServerDirectory } from '../common/serving/ServerDirectory.js';
+import type { BackendServer } from '../common/serving/ServingConfiguration.js';
 import type { FeedRow } from '../storage/RowFeed.js';
 import { ConfigurationView } from './ConfigurationView.js';
 import { CrashingPartTable } from './CrashingPartTable.js';
@@ -103,7 +104,9 @@
       this.batcher.updateServers(),
     );
     this.peerView = new PeerView(clock, () => this.createHeartbeat());
-    this.observations = new ServerObservations(clock, logger);
+    this.observations = new ServerObservations(clock, logger, (server, requestsPerS) =>
+      this.limitShareOf(server, requestsPerS),
+    );
     const { limits, crashingParts } = this.observations;
     const { ratio, slack, windowSeconds } = settings.retryBudget;
     const processCount = () => this.peerView.processCount;
@@ -116,7 +119,7 @@
       responses: settings.responseLimits,
       memory: new ResponseMemory(settings.responseLimits.totalBytes),
       traffic: {
-        onRequest: () => undefined,
+        onRequest: (server) => limits.recordRequest(server),
         onResponse: (server, headers) =>
           limits.recordResponse(server.id, protocol.parseResponse(headers).requestsPerS),
       },
@@ -130,7 +133,7 @@
       directory: this.directory,
       routeTable,
     };
-    this.batcher = new StageBatcher({ ...commonServices, retryBudgets });
+    this.batcher = new StageBatcher({ ...commonServices, retryBudgets, limits });
     const stageClient = new StageClient({
       ownId: settings.id,
       clock,
@@ -362,6 +365,13 @@
     return coreShare * cores * Math.min(1, linkMbps / SUFFICIENT_LINK_MBPS);
   }
 
+  /** Stage servers get calls from their batching process only. */
+  private limitShareOf({ id, service }: BackendServer, requestsPerS: number): number {
+    const isStage = this.configuration.routeTable?.service(service)?.stage !== undefined;
+    if (!isStage) return this.peerView.limitShare(id, requestsPerS);
+    return this.peerView.batchingProcess(service).id === this.options.settings.id ? 1 : 0;
+  }
+
   private createHeartbeat(): Heartbeat {
     const { settings } = this.options;
     return {
--- a/src/serving/StageBatcher.ts
+++ b/src/serving/StageBatcher.ts
@@ -2,6 +2,7 @@
 import type { Cancellation } from '../common/events/Cancellation.js';
 import type { Clock } from '../common/time/Types.js';
 import type { ServerDirectory } from '../common/serving/ServerDirectory.js';
+import type { ServerLimits } from '../common/serving/ServerLimits.js';
 import { StageQueue } from '../common/serving/StageQueue.js';
 import type {
   CallOutcome,
@@ -24,6 +25,12 @@
 
 /** Time for which released handles are collected, in ms, so that one call releases many results. */
 const RELEASE_DELAY_MS = 12;
+/** Interval of the calls that release results at a server that is at its limit, in ms. */
+const LIMITED_RELEASE_DELAY_MS = 1000;
+
+/** Maximum number of handles that wait to be released at one server; servers drop the others. */
+const MAX_PENDING_RELEASES = 10_000;
+
 /** Time-out of a call that releases results, in ms. */
 const RELEASE_TIMEOUT_MS = 1000;
 
@@ -77,6 +84,8 @@
   readonly routeTable: () => RouteTable | undefined;
   /** Limits retries of pieces to a share of the requests for their service. */
   readonly retryBudgets: RetryBudgets;
+  /** Limits that the servers name. */
+  readonly limits: ServerLimits;
 }
 
 /**
@@ -240,9 +249,9 @@
     if (known) return known;
     const capacity = this.services.routeTable()?.service(service)?.stage;
     if (!capacity) return undefined;
-    const queue = new StageQueue(this.services.clock, capacity, () =>
-      this.services.retryBudgets.of(service).trySpend(),
-    );
+    const { clock, retryBudgets, limits } = this.services;
+    const mayRetry = () => retryBudgets.of(service).trySpend();
+    const queue = new StageQueue(clock, capacity, mayRetry, limits);
     queue.updateServers(this.services.directory.usable(service));
     this.queues.set(service, queue);
     return queue;
@@ -347,10 +356,20 @@
   private sendReleases(address: string): void {
     const handles = this.pendingReleases.get(address) ?? [];
     this.pendingReleases.delete(address);
-    const { directory, protocol, connections, logger } = this.services;
+    const { directory, protocol, connections, logger, limits } = this.services;
     const server = directory.findByAddress(address);
     // A draining server receives no more calls, and its results are dropped when it exits.
     if (!server || server.isDraining) return;
+    if (!limits.mayRequest(server)) {
+      const kept = handles.slice(-MAX_PENDING_RELEASES);
+      if (kept.length < handles.length) {
+        const dropped = handles.length - kept.length;
+        logger.warn('results not released', { server: server.id, cause: 'limit', dropped });
+      }
+      this.pendingReleases.set(address, kept);
+      setTimeout(() => this.sendReleases(address), LIMITED_RELEASE_DELAY_MS);
+      return;
+    }
     const request = protocol.createReleaseCall(server.id, handles);
     bufferedCall(
       connections.to(server),
--- a/src/serving/peers/PeerMessages.ts
+++ b/src/serving/peers/PeerMessages.ts
@@ -1,6 +1,7 @@
 /** Messages between serving processes. */
 import { z } from 'zod';
 import { CrashEvidence } from '../../common/serving/CrashingParts.js';
+import { ServerLimitReports } from '../../common/serving/ServerLimits.js';
 import type { TaskOutcome } from '../../common/serving/Types.js';
 
 /** State of a process, which it sends to all others several times a second, as one datagram. */
@@ -28,6 +29,8 @@
   engines: z.record(z.string(), z.tuple([z.number(), z.number()])),
   /** What the sender knows about prompt parts that crash servers; older versions send none. */
   crashEvidence: CrashEvidence.default({ crashes: [], completed: {} }),
+  /** Limits that servers named in responses to the sender; older versions send none. */
+  serverLimits: ServerLimitReports.default({}),
 });
 export type Heartbeat = z.infer<typeof Heartbeat>;
 
--- a/src/serving/peers/PeerView.test.ts
+++ b/src/serving/peers/PeerView.test.ts
@@ -75,4 +75,26 @@
     assert.ok(visits <= 2 * fleet, `${visits} visits for ${fleet} heartbeats`);
     assert.deepEqual(view.engineLoad('engine'), { running: fleet, tokens: fleet });
   });
+
+  it('divides the limit of a server among few processes, and leaves out the leaving ones', () => {
+    // Guards against many processes that each save up one request for the same server.
+    const ids = Array.from({ length: 20 }, (_, index) => `process-${index}`);
+    const shares = (leaving: readonly string[], requestsPerS: number) =>
+      ids.map((own) => {
+        const heartbeat = (id: string) => createHeartbeat(id, { isLeaving: leaving.includes(id) });
+        const view = new PeerView(new ManualClock(), () => heartbeat(own));
+        ids.filter((id) => id !== own).forEach((id) => view.recordHeartbeat(heartbeat(id)));
+        return view.limitShare('server', requestsPerS);
+      });
+    const low = shares([], 1.5);
+    assert.deepEqual(
+      low.filter((share) => share > 0),
+      [0.25, 0.25, 0.25, 0.25],
+    );
+    assert.equal(shares([], 10).filter((share) => share === 0.1).length, 10);
+    const leaving = ids.filter((_, index) => low[index]! > 0);
+    const others = shares(leaving, 1.5);
+    assert.equal(others.filter((share) => share === 0.25).length, 4);
+    assert.ok(ids.every((id, index) => !leaving.includes(id) || others[index] === 0));
+  });
 });
--- a/src/serving/peers/PeerView.ts
+++ b/src/serving/peers/PeerView.ts
@@ -17,6 +17,12 @@
  */
 const CHOICE_LIFETIME_MS = 50;
 
+/**
+ * Number of processes that share a low limit of a server. Each may have saved up one request, so
+ * more processes could together exceed the limit for a moment.
+ */
+const MIN_LIMIT_SHARERS = 4;
+
 /** Time after which a silent process is forgotten, in ms. */
 const FORGET_AFTER_MS = 60_000;
 
@@ -32,6 +38,13 @@
   readonly tokens: number;
 }
 
+/** Position of this process among all that take new requests, by hash of a server's id. */
+interface OwnRank {
+  /** Undefined if this process takes none. */
+  readonly rank: number | undefined;
+  readonly processes: number;
+}
+
 /** Live processes, and the batching process of each service that was asked for, as of one time. */
 interface Choices {
   readonly madeAt: number;
@@ -39,6 +52,8 @@
   /** Processes that may batch; undefined until one is asked for. */
   candidates: readonly Heartbeat[] | undefined;
   readonly processByService: Map<string, string>;
+  /** By id of a server whose limit was divided. */
+  readonly ownRanks: Map<string, OwnRank>;
 }
 
 /** Tracks the other serving processes by their heartbeats. */
@@ -122,6 +137,21 @@
     return first;
   }
 
+  /**
+   * Divides the limit of a server among the first processes by hash of its id.
+   * @param serverId - id of the server
+   * @param requestsPerS - limit for all processes together
+   * @returns share of this process, 0 to 1
+   */
+  limitShare(serverId: string, requestsPerS: number): number {
+    const { ownRanks } = this.currentChoices();
+    const ownRank = ownRanks.get(serverId) ?? this.ownRankFor(serverId);
+    ownRanks.set(serverId, ownRank);
+    const { rank, processes } = ownRank;
+    const sharers = Math.min(processes, Math.max(MIN_LIMIT_SHARERS, Math.floor(requestsPerS)));
+    return rank !== undefined && rank < sharers ? 1 / sharers : 0;
+  }
+
   /** @returns time until all pieces waiting for the service could be started, in ms */
   backlogOf(service: string): number {
     return this.batchingProcess(service).backlogs[service] ?? 0;
@@ -141,10 +171,25 @@
     if (this.choices && now - this.choices.madeAt < CHOICE_LIFETIME_MS) return this.choices;
     this.removeSilentPeers(now);
     const liveCount = [...this.peers.values()].filter((peer) => this.isPeerLive(peer, now)).length;
-    this.choices = { madeAt: now, liveCount, candidates: undefined, processByService: new Map() };
+    this.choices = {
+      madeAt: now,
+      liveCount,
+      candidates: undefined,
+      processByService: new Map(),
+      ownRanks: new Map(),
+    };
     return this.choices;
   }
 
+  private ownRankFor(key: string): OwnRank {
+    const own = this.ownHeartbeat();
+    const candidates = [own, ...this.liveHeartbeats()]
+      .filter(({ isLeaving }) => !isLeaving)
+      .map(({ id }) => ({ id, weight: 1 }));
+    const rank = rankByHash(candidates, key).findIndex(({ id }) => id === own.id);
+    return { rank: rank < 0 ? undefined : rank, processes: candidates.length };
+  }
+
   private batchingCandidates(ownHeartbeat: Heartbeat): Heartbeat[] {
     const now = this.clock.now();
     const candidates = this.liveHeartbeats().filter(
--- a/src/serving/peers/testing/fixtures.ts
+++ b/src/serving/peers/testing/fixtures.ts
@@ -16,6 +16,7 @@
     backlogs: {},
     engines: {},
     crashEvidence: { crashes: [], completed: {} },
+    serverLimits: {},
     ...overrides,
   };
 }
