Refuse requests that wait for their stages when a prompt part is found

Cause: a request that was admitted before its prompt part was known to crash servers was refused only after all its stages had run.

Change: the stages of such a request end as soon as the part is found.

--- a/src/serving/PromptGuard.ts
+++ b/src/serving/PromptGuard.ts
@@ -1,3 +1,4 @@
+import type { Disposable } from '../common/events/Types.js';
 import { sharedPartIds, type CrashingParts } from '../common/serving/CrashingParts.js';
 import type { BackendServer } from '../common/serving/ServingConfiguration.js';
 import type { Clock } from '../common/time/Types.js';
@@ -31,6 +32,19 @@
     };
   }
 
+  /**
+   * Waits for evidence because of which the request must not be sent any more.
+   * @param request - request that is not sent yet
+   * @param listener - called when there is such evidence
+   * @returns subscription
+   */
+  onRefused({ attributes }: CallerRequest, listener: () => void): Disposable {
+    const partIds = sharedPartIds(attributes.promptParts);
+    return this.crashingParts.onFound(() => {
+      if (this.crashingParts.findIn(partIds)) listener();
+    });
+  }
+
   /** Records what the outcome of an attempt shows about the parts of the prompt. */
   recordOutcome(
     { attributes }: CallerRequest,
--- a/src/serving/RequestRunner.ts
+++ b/src/serving/RequestRunner.ts
@@ -1,3 +1,4 @@
+import { Cancellation } from '../common/events/Cancellation.js';
 import type { EnginePlacement } from '../common/serving/EnginePlacement.js';
 import type { ServerRecords } from '../common/serving/ServerRecords.js';
 import type { BackendServer } from '../common/serving/ServingConfiguration.js';
@@ -143,16 +144,24 @@
     if (request.route.stages.length === 0 || !needsStages) {
       return { kind: 'done', results: [], release: () => undefined };
     }
-    const results = await this.services.stageRunner.run(
-      request,
-      // The engine that would be chosen now.
-      this.services.selection.choose(request, service, new Set(), [])?.failureDomain,
-    );
+    const { stageRunner, selection, promptGuard } = this.services;
+    const cancellation = new Cancellation(request.cancellation);
+    const subscription = promptGuard.onRefused(request, () => cancellation.cancel());
+    // The engine that would be chosen now.
+    const engineDomain = selection.choose(request, service, new Set(), [])?.failureDomain;
+    const results = await stageRunner.run(request, engineDomain, cancellation);
+    subscription.dispose();
+    cancellation.dispose();
     if (request.cancellation.isCancelled) {
       if (results.kind === 'done') results.release();
       return undefined;
     }
     if (results.kind === 'done') return results;
+    const refusal = promptGuard.refusalOf(request);
+    if (refusal) {
+      this.refuse(request, refusal.reason, refusal.retryAfterMs);
+      return undefined;
+    }
     const { service: failedService, reason } = results;
     const retryAfterMs = Math.max(FULL_RETRY_MS, this.services.peerView.backlogOf(failedService));
     this.refuse(request, `stage ${reason} at ${failedService}`, retryAfterMs);
--- a/src/serving/StageRunner.ts
+++ b/src/serving/StageRunner.ts
@@ -58,12 +58,17 @@
   /**
    * @param request - caller's request
    * @param engineDomain - failure domain of the engine that the request will probably be sent to
+   * @param parent - ends the stages
    * @returns results that the request itself reads, or the first failure
    */
-  async run(request: CallerRequest, engineDomain: string | undefined): Promise<StageResults> {
+  async run(
+    request: CallerRequest,
+    engineDomain: string | undefined,
+    parent: Cancellation,
+  ): Promise<StageResults> {
     const { route, attributes } = request;
     const graph = new StageGraph(route.stages, attributes.pieceCounts);
-    const cancellation = new Cancellation(request.cancellation);
+    const cancellation = new Cancellation(parent);
     let failure: StageResults | undefined;
     const runReadyStages = async (): Promise<void> => {
       await Promise.all(
