Send a request now and then to a server that names a limit of 0

Cause: with a limit of 0 no request was sent any more, so the end of the limit was never seen, and the time to return was infinite.

Change: a limit below one request in five seconds counts as that.

Measured: the new test fails without the change (the wait is infinite) and passes.

--- a/src/common/serving/ServerLimits.test.ts
+++ b/src/common/serving/ServerLimits.test.ts
@@ -132,6 +132,16 @@
     assert.equal(withoutShare.waitMs(server), 500);
   });
 
+  it('lets a request through now and then even if it is 0, which shows when it has ended', () => {
+    const { clock, limits } = createLimits();
+    limits.recordResponse('server', 0);
+    assert.equal(limits.waitMs(server), 5000);
+    clock.set(5000);
+    assert.equal(limits.mayRequest(server), true);
+    limits.recordRequest(server);
+    assert.equal(limits.mayRequest(server), false);
+  });
+
   it('is remembered for a bounded number of servers', () => {
     const { limits } = createLimits();
     for (let index = 0; index < 5000; index += 1) limits.recordResponse(`server-${index}`, 1);
--- a/src/common/serving/ServerLimits.ts
+++ b/src/common/serving/ServerLimits.ts
@@ -47,6 +47,12 @@
 /** Time for which the end of a limit is sent to the peers, in ms. */
 const END_REPORT_MS = 10_000;
 
+/**
+ * Lowest limit that is kept, in requests per second. Only the response to a request shows that a
+ * limit has ended, so a server that takes none still gets one now and then.
+ */
+const MIN_REQUESTS_PER_S = 0.2;
+
 /** Maximum number of servers whose limits are remembered; the ones seen least recently go first. */
 const MAX_SERVERS = 1000;
 
@@ -101,7 +107,8 @@
    * @returns requests per second that it takes from all processes; undefined for any number
    */
   requestsPerS(serverId: string): number | undefined {
-    return this.limits.get(serverId)?.requestsPerS;
+    const requestsPerS = this.limits.get(serverId)?.requestsPerS;
+    return requestsPerS === undefined ? undefined : Math.max(MIN_REQUESTS_PER_S, requestsPerS);
   }
 
   /**
