Refuse requests that arrive after a stop has ended

Callers saw: a request on a connection that was already open was sent to a server just before the process exited, and ended without an answer.

Cause: connections on which no request has come yet do not count as idle, so they stay open after the stop, and their requests were served as usual.

--- a/src/serving/Ingress.ts
+++ b/src/serving/Ingress.ts
@@ -29,6 +29,9 @@
 /** Retry-After before the first configuration, in ms; a process reads it in about a second. */
 const NO_CONFIGURATION_RETRY_MS = 1000;
 
+/** Retry-After of a process that has stopped, in ms: another one can serve the request at once. */
+const STOPPED_RETRY_MS = 0;
+
 /** Connections waiting to be accepted; sized for bursts of callers that connect at once. */
 const LISTEN_BACKLOG = 1024;
 
@@ -63,6 +66,9 @@
 
   private runningCount = 0;
 
+  /** Whether the process is about to exit and runs no further request. */
+  private hasEnded = false;
+
   /** Callbacks that each end one request without a final response, for the given reason. */
   private readonly endCallbacks = new Set<(reason: string) => void>();
 
@@ -104,6 +110,8 @@
 
   /** Responds to all pending requests, so that callers receive more than a closed connection. */
   async endPendingRequests(): Promise<void> {
+    // Connections without a request so far are still open, and the exit does not wait for them.
+    this.hasEnded = true;
     [...this.endCallbacks].forEach((end) => end('stopping'));
     await sleep(FINAL_FLUSH_MS);
   }
@@ -130,6 +138,11 @@
     const receivedAt = clock.now();
     const attributes = protocol.parseRequest(message.rawHeaders);
     const callerResponse = new CallerResponse(response, protocol, attributes.attemptId, isStopping);
+    if (this.hasEnded) {
+      const retryAfterMs = STOPPED_RETRY_MS;
+      this.refuse(callerResponse, { status: NOT_RUN_STATUS, reason: 'stopping', retryAfterMs });
+      return;
+    }
     const routes = routeTable();
     if (!routes) {
       const retryAfterMs = NO_CONFIGURATION_RETRY_MS;
