Store only the suspects of crashes, without the parts known to be sound

Cause: the row of a crashing part held all parts of the lost requests but not which of them had been cleared, so after a restart of all processes a request with the bad part and other shared parts was still sent to a server.

Change: the row holds the suspects only.

Measured: the extended test failed before and passes.

--- a/src/common/serving/CrashingParts.test.ts
+++ b/src/common/serving/CrashingParts.test.ts
@@ -122,7 +122,6 @@
     const restarted = new CrashingParts(clock);
     restarted.merge(parts.evidenceAgainst('bad'));
     assert.ok(restarted.findIn(['system', 'bad']));
-    restarted.recordCompletion(['system']);
     assert.ok(restarted.findIn(['other', 'bad']));
     assert.equal(restarted.findIn(['system']), undefined);
   });
--- a/src/common/serving/CrashingParts.ts
+++ b/src/common/serving/CrashingParts.ts
@@ -119,11 +119,14 @@
 
   /**
    * @param part - id of a part found
-   * @returns evidence against this part alone, to store
+   * @returns evidence to store: the crashes that the part explains, without the parts that are known
+   *   to be sound
    */
   evidenceAgainst(part: string): CrashEvidence {
     const explained = this.explainedCrashes().get(part) ?? [];
-    return { ...this.toEvidence(explained.slice(-MIN_CRASHES)), completed: {} };
+    const parts = new Set(this.found.get(part)?.suspects);
+    const crashes = explained.slice(-MIN_CRASHES).map((crash) => ({ ...crash, parts }));
+    return { ...this.toEvidence(crashes), completed: {} };
   }
 
   /**
