--- a/src/serving/BufferedForwarder.ts
+++ b/src/serving/BufferedForwarder.ts
@@ -3,7 +3,12 @@
 import { bufferedCall } from './BufferedCall.js';
 import { isRetryable, type CallerRequest } from './CallerRequest.js';
 import type { BackendConnections } from './BackendConnections.js';
-import { isServerError, type ForwardOptions, type ForwardOutcome } from './ForwardOutcome.js';
+import {
+  isServerError,
+  isSuccess,
+  type ForwardOptions,
+  type ForwardOutcome,
+} from './ForwardOutcome.js';
 import type { ServingProtocol } from './Types.js';
 
 /** Dependencies of the forwarders. */
@@ -56,8 +61,11 @@
   const attributes = protocol.parseResponse(headers);
   if (attributes.isNotExecuted) return { kind: 'not-executed', status };
   const matchesAttempt = attributes.attemptId === request.attributes.attemptId;
-  const isSuccess = status >= 200 && status < 300;
-  if (!matchesAttempt || attributes.hasContentCoding || (isSuccess && !attributes.isSigned)) {
+  if (
+    !matchesAttempt ||
+    attributes.hasContentCoding ||
+    (isSuccess(status) && !attributes.isSigned)
+  ) {
     return {
       kind: 'broken',
       cause: `answer of another request or not whole (status ${status})`,
--- a/src/serving/StreamForwarder.ts
+++ b/src/serving/StreamForwarder.ts
@@ -3,7 +3,12 @@
 import type { ResponseBuffer } from '../common/response/ResponseBuffer.js';
 import type { BackendServer } from '../common/serving/ServingConfiguration.js';
 import { isRetryable, type CallerRequest } from './CallerRequest.js';
-import { isServerError, type ForwardOptions, type ForwardOutcome } from './ForwardOutcome.js';
+import {
+  isServerError,
+  isSuccess,
+  type ForwardOptions,
+  type ForwardOutcome,
+} from './ForwardOutcome.js';
 import type { ForwardServices } from './BufferedForwarder.js';
 import type {
   Exchange,
@@ -110,9 +115,9 @@
     this.options.onHead?.();
     this.attributes = this.services.protocol.parseResponse(headers);
     const { attemptId, isSigned, hasContentCoding } = this.attributes;
-    const limit = this.isSuccess ? 'eventBytes' : 'errorBodyBytes';
+    const limit = isSuccess(this.status) ? 'eventBytes' : 'errorBodyBytes';
     this.buffer = this.pool?.createBuffer(limit, (reason) => this.abort(reason));
-    if (!this.isSuccess || !this.buffer) return;
+    if (!isSuccess(this.status) || !this.buffer) return;
     this.parser = new EventParser(this.buffer);
     const matchesAttempt = attemptId === this.request.attributes.attemptId;
     if (!matchesAttempt || !isSigned || hasContentCoding) this.abort('answer of another request');
@@ -149,10 +154,6 @@
     else this.finish(this.lossOutcome(message, isConnectionLost), false);
   }
 
-  private get isSuccess(): boolean {
-    return this.status >= 200 && this.status < 300;
-  }
-
   private forwardEvent({ bytes, id, hasData }: StreamEvent): void {
     this.hasReceivedEvents = true;
     if (this.isDuplicate(id)) return;
