Add the header of the limit to the names that only platform/ knows

The lint rule did not cover it; the label of a metric used the same word. Also a comment that could be misread. No behaviour changes but for the label.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -5,6 +5,7 @@
 const PLATFORM_NAMES = [
   'citronstage-(attempt|response-seal|deadline-ms|expect|pieces|piece-key|inputs|token|prompt-prefix|tenant|not-executed|server-load|request-urgency|pin-ms|hold|kv)',
   '^kv-(from|fetch)$',
+  '^server-limit$',
   'stage-(run|free)$',
   'rows-(get|tx|feed|parts)',
   'blob-(put|get|drop|list)',
--- a/src/serving/ForwardOutcome.ts
+++ b/src/serving/ForwardOutcome.ts
@@ -25,7 +25,7 @@
       readonly kind: 'interrupted';
       readonly lastEventId: string | undefined;
       readonly cause: string;
-      /** As of `broken`. */
+      /** Same as for `broken`. */
       readonly isConnectionLost: boolean;
     }
   /** The request was cancelled: the caller left or the deadline passed. */
--- a/src/serving/RequestRunner.ts
+++ b/src/serving/RequestRunner.ts
@@ -227,7 +227,7 @@
   }
 
   private limitRefusal(limitWaitMs: number): Refusal {
-    this.services.metrics.recordRefusal('server-limit');
+    this.services.metrics.recordRefusal('limited-servers');
     // Callers that are refused at the same time should not all return at the same time.
     const retryAfterMs = FULL_RETRY_MS + limitWaitMs * (1 + this.services.random());
     return { reason: 'all servers are at their limits', retryAfterMs };
