Log restores of the store and configurations that are ignored as older

The logs could not tell a restored store from a compacted one, nor show that a configuration was ignored because its version is lower. Reads of the store now carry the era that it names, the followers log a change of it with the versions before and after, and an ignored configuration leaves a line. No decision changes.

--- a/src/serving/ConfigurationView.ts
+++ b/src/serving/ConfigurationView.ts
@@ -51,6 +51,9 @@
       return;
     }
     const { version } = decoded.value;
+    if (version < this.version) {
+      this.logger.warn('older configuration ignored', { version, current: this.version, source });
+    }
     if (version <= this.version) return;
     const previous = this.version;
     this.current = new RouteTable(decoded.value);
--- a/src/serving/RegistrationView.ts
+++ b/src/serving/RegistrationView.ts
@@ -1,5 +1,6 @@
 import murmurhash from 'murmurhash';
 import type { Clock } from '../common/time/Types.js';
+import type { StorePosition } from '../common/serving/StorePosition.js';
 import type { ServerDirectory } from '../common/serving/ServerDirectory.js';
 import type { FeedRow } from '../storage/RowFeed.js';
 import type { Logger } from '../telemetry/Logger.js';
@@ -88,9 +89,9 @@
   /**
    * Applies changed rows.
    * @param rows - changed rows; one without a value was removed
-   * @param version - version of the store after these changes
+   * @param position - position of the store after these changes
    */
-  apply(rows: readonly FeedRow[], version: number): void {
+  apply(rows: readonly FeedRow[], { version }: StorePosition): void {
     this.newestVersion = Math.max(this.newestVersion, version);
     rows.forEach(({ key, value }) => {
       if (value) this.rows.set(key, value);
@@ -104,9 +105,9 @@
   /**
    * Replaces all rows.
    * @param rows - all rows of the table
-   * @param version - version of the store that they belong to
+   * @param position - position of the store that they belong to
    */
-  replaceAll(rows: readonly FeedRow[], version: number): void {
+  replaceAll(rows: readonly FeedRow[], { version }: StorePosition): void {
     this.rows.clear();
     this.newestVersion = version;
     rows.forEach(({ key, value }) => value && this.rows.set(key, value));
@@ -124,7 +125,7 @@
     if (version <= this.newestVersion) return;
     this.logger.info('registrations taken from a peer', { peer: peerId, version });
     const decoded = rows.map(([key, value]) => ({ key, value: Buffer.from(value, 'base64') }));
-    this.replaceAll(decoded, version);
+    this.replaceAll(decoded, { era: 0, version });
   }
 
   private updateDigest(): void {
--- a/src/serving/ServingProcess.ts
+++ b/src/serving/ServingProcess.ts
@@ -270,8 +270,8 @@
       apply: (rows) => this.applyConfiguration(rows),
     });
     this.followers.follow(names.serverTable, CHANGE_WAITS, {
-      replaceAll: (rows, version) => this.registrations.replaceAll(rows, version),
-      apply: (rows, version) => this.registrations.apply(rows, version),
+      replaceAll: (rows, position) => this.registrations.replaceAll(rows, position),
+      apply: (rows, position) => this.registrations.apply(rows, position),
       onStoreReachable: () => this.registrations.markStoreReachable(),
       onStoreUnreachable: () => this.registrations.markStoreUnreachable(),
     });
--- a/src/serving/TableFollower.test.ts
+++ b/src/serving/TableFollower.test.ts
@@ -12,12 +12,15 @@
 function createBusyFeed() {
   const calls = { changes: 0 };
   const feed: RowFeed = {
-    readAll: async () => ({ ok: true, value: { rows: [], version: 0 } }),
-    changes: async (_table, version) => {
+    readAll: async () => ({ ok: true, value: { rows: [], position: { era: 0, version: 0 } } }),
+    changes: async (_table, { era, version }) => {
       calls.changes += 1;
       await sleep(CHANGE_MS);
       const rows = [{ key: 'server', value: Buffer.from('row') }];
-      return { ok: true, value: { kind: 'changes', page: { rows, version: version + 1 } } };
+      return {
+        ok: true,
+        value: { kind: 'changes', page: { rows, position: { era, version: version + 1 } } },
+      };
     },
     write: async () => ({ ok: true, value: undefined }),
     close: async () => undefined,
@@ -65,10 +68,10 @@
     const waits: number[] = [];
     const feed: RowFeed = {
       ...createBusyFeed().feed,
-      changes: async (_table, version, { waitMs }) => {
+      changes: async (_table, position, { waitMs }) => {
         waits.push(waitMs);
         await sleep(CHANGE_MS);
-        return { ok: true, value: { kind: 'changes', page: { rows: [], version } } };
+        return { ok: true, value: { kind: 'changes', page: { rows: [], position } } };
       },
     };
     const follower = createFollower(feed, processes, () => undefined);
--- a/src/serving/TableFollower.ts
+++ b/src/serving/TableFollower.ts
@@ -1,4 +1,5 @@
 import { setTimeout as sleep } from 'node:timers/promises';
+import type { StorePosition } from '../common/serving/StorePosition.js';
 import type { FeedRow, RowFeed } from '../storage/RowFeed.js';
 import type { PlatformError } from '../storage/Types.js';
 import type { Logger } from '../telemetry/Logger.js';
@@ -32,9 +33,9 @@
 /** Receives the rows of a table and the state of the store. */
 export interface TableListener {
   /** Called with all rows of the table. */
-  replaceAll(rows: readonly FeedRow[], version: number): void;
+  replaceAll(rows: readonly FeedRow[], position: StorePosition): void;
   /** Called with changed rows; may be called without rows when only the version has changed. */
-  apply(rows: readonly FeedRow[], version: number): void;
+  apply(rows: readonly FeedRow[], position: StorePosition): void;
   /** Called after each successful call of the store. */
   onStoreReachable(): void;
   /** Called after each failed call of the store. */
@@ -62,7 +63,11 @@
 
 /** Reads a table of the store and then follows its changes by long polling. */
 export class TableFollower {
-  private version: number | undefined;
+  /** Position up to which the table is known; undefined before it was read. */
+  private position: StorePosition | undefined;
+
+  /** Era of the store in which the table was read last; undefined before the first read. */
+  private era: number | undefined;
 
   private failures = 0;
 
@@ -73,7 +78,7 @@
   /** Follows the table until {@link dispose} is called. */
   async run(): Promise<void> {
     while (!this.isStopped) {
-      const error = this.version === undefined ? await this.readAll() : await this.readChanges();
+      const error = this.position === undefined ? await this.readAll() : await this.readChanges();
       if (error) await this.backOff(error);
       else this.recordSuccess();
     }
@@ -88,8 +93,10 @@
     const result = await feed.readAll(table, { timeoutMs: READ_TIMEOUT_MS });
     if (!result.ok) return result.error;
     listener.onStoreReachable();
-    this.version = result.value.version;
-    listener.replaceAll(result.value.rows, this.version);
+    const { rows, position } = result.value;
+    this.recordEra(position);
+    this.position = position;
+    listener.replaceAll(rows, position);
     return undefined;
   }
 
@@ -97,21 +104,31 @@
     const { feed, table, listener, logger } = this.options;
     const pollWaitMs = this.pollWaitMs();
     const timeoutMs = pollWaitMs + READ_TIMEOUT_MS;
-    const result = await feed.changes(table, this.version!, { waitMs: pollWaitMs, timeoutMs });
+    const result = await feed.changes(table, this.position!, { waitMs: pollWaitMs, timeoutMs });
     if (!result.ok) return result.error;
     listener.onStoreReachable();
     if (result.value.kind === 'history-lost') {
       logger.warn('change history of the table was dropped; reading the whole table', { table });
-      this.version = undefined;
+      this.position = undefined;
       return undefined;
     }
-    const { rows, version } = result.value.page;
-    this.version = Math.max(this.version!, version);
-    listener.apply(rows, this.version);
+    const { rows, position } = result.value.page;
+    this.recordEra(position);
+    this.position = { ...position, version: Math.max(this.position!.version, position.version) };
+    listener.apply(rows, this.position);
     if (rows.length > 0) await sleep(this.readGapMs());
     return undefined;
   }
 
+  private recordEra({ era, version }: StorePosition): void {
+    const { logger, table } = this.options;
+    const previous = this.position?.version;
+    if (this.era !== undefined && this.era !== era) {
+      logger.warn('store was restored', { table, era, previousEra: this.era, version, previous });
+    }
+    this.era = era;
+  }
+
   /**
    * Waits differ in length, so that a process whose wait ends earlier notifies the others.
    * @returns time that the store may wait for a change, in ms
--- a/src/storage/HttpCaller.ts
+++ b/src/storage/HttpCaller.ts
@@ -1,6 +1,7 @@
 import { promisify } from 'node:util';
 import { gunzip } from 'node:zlib';
 import { Agent, type Dispatcher } from 'undici';
+import type { IncomingHttpHeaders } from 'undici/types/header.js';
 import { isConnectError } from '../common/ConnectError.js';
 import type { CallOptions, PlatformError, PlatformResult } from './Types.js';
 
@@ -40,6 +41,8 @@
   readonly text: string;
   /** Entity tag of the content, if the service sends one. */
   readonly etag?: string;
+  /** Header values by name in lower case. */
+  readonly headers: IncomingHttpHeaders;
 }
 
 /** HTTP client of one platform service: sends calls and maps failures to {@link PlatformError}. */
@@ -66,11 +69,14 @@
   async call(call: HttpCall, options: CallOptions): Promise<PlatformResult<HttpResponse>> {
     const { agent } = this;
     const abort = new AbortController();
+    const onAbort = () => abort.abort();
+    options.signal?.addEventListener('abort', onAbort, { once: true });
     const timer = setTimeout(() => abort.abort(), options.timeoutMs);
     const exchange = this.exchange(agent, call, abort.signal);
     try {
       return resultOf(call, await Promise.race([exchange, rejectOnAbort(abort.signal)]));
     } catch (error) {
+      if (options.signal?.aborted) return failure(call, 'aborted');
       if (abort.signal.aborted) {
         this.replaceAgent(agent);
         return failure(call, `no response within ${options.timeoutMs} ms`);
@@ -79,6 +85,7 @@
       return isConnectError(error) ? unavailable(message) : failure(call, message);
     } finally {
       clearTimeout(timer);
+      options.signal?.removeEventListener('abort', onAbort);
       // An exchange that lost the race is aborted; its later rejection is ignored.
       exchange.catch(() => undefined);
     }
@@ -99,9 +106,9 @@
       signal,
     });
     const text = await readText(response);
-    const { etag } = response.headers;
-    const tag = typeof etag === 'string' ? { etag } : {};
-    return { status: response.statusCode, text, ...tag };
+    const { statusCode: status, headers } = response;
+    const { etag } = headers;
+    return { status, text, headers, ...(typeof etag === 'string' && { etag }) };
   }
 
   /**
--- a/src/storage/RowFeed.ts
+++ b/src/storage/RowFeed.ts
@@ -1,4 +1,5 @@
 /** Byte rows of the store's tables, with a change feed. */
+import type { StorePosition } from '../common/serving/StorePosition.js';
 import type { CallOptions, PlatformResult } from './Types.js';
 
 /** A row of a table that is not divided into parts; `value` is absent if the row was removed. */
@@ -10,11 +11,14 @@
 /** Rows of a table as of one version. */
 export interface FeedPage {
   readonly rows: readonly FeedRow[];
-  /** Version to pass to the next {@link RowFeed.changes}. */
-  readonly version: number;
+  /** Position to pass to the next {@link RowFeed.changes}. */
+  readonly position: StorePosition;
 }
 
-/** Changes, or `history-lost` if the store no longer retains all changes after the version. */
+/**
+ * Changes, or `history-lost` if the store no longer retains all changes after the version or does
+ * not have the version. The changes are complete only if the store is still in the same era.
+ */
 export type FeedChanges =
   { readonly kind: 'changes'; readonly page: FeedPage } | { readonly kind: 'history-lost' };
 
@@ -28,8 +32,12 @@
 export interface RowFeed {
   /** Reads all rows of a table. */
   readAll(table: string, options: CallOptions): Promise<PlatformResult<FeedPage>>;
-  /** Waits for rows that changed after a version. */
-  changes(table: string, after: number, options: FeedOptions): Promise<PlatformResult<FeedChanges>>;
+  /** Waits for rows that changed after a position. */
+  changes(
+    table: string,
+    after: StorePosition,
+    options: FeedOptions,
+  ): Promise<PlatformResult<FeedChanges>>;
   /** Writes a row unconditionally, or removes it if `value` is undefined. */
   write(
     table: string,
--- a/src/storage/Types.ts
+++ b/src/storage/Types.ts
@@ -45,6 +45,8 @@
 export interface CallOptions {
   /** Time after which the call returns `ambiguous` (writes) or `unavailable` (reads), in ms. */
   readonly timeoutMs: number;
+  /** Ends the call early, like a time-out. */
+  readonly signal?: AbortSignal;
 }
 
 /** The platform's transactional table service. */
