Compare versions of the store only within its era

Callers kept the configuration of before a restore: the store gives out the versions after its copy again, and a process that knew a higher one waited for changes after it, so rows in between never reached it. Registrations of peers were compared in the same way, so a process that knew the restored ones copied the earlier ones of a peer, and not the reverse.

Positions now carry the era. A follower that sees another era reads the whole table; after a failed call it asks without waiting, as only a response shows the era; and whoever learns of an era, also from a peer's heartbeat, ends the waits of all followers. Servers that are missing from the copy have the usual time to register again.

--- a/src/common/serving/ServerDirectory.ts
+++ b/src/common/serving/ServerDirectory.ts
@@ -72,8 +72,14 @@
     this.applyDueRemovals();
   }
 
-  /** Applies the complete list of registrations; servers missing from the list are removed. */
-  replaceAll(registrations: readonly RegistrationChange[]): void {
+  /**
+   * Applies the complete list of registrations; servers missing from the list are removed.
+   * @param registrations - all registrations
+   * @param isRestored - whether the store was restored from a copy since the known registrations,
+   *   so that servers which registered after the copy have to do so again
+   */
+  replaceAll(registrations: readonly RegistrationChange[], isRestored = false): void {
+    if (isRestored) this.storeReachableSince = this.clock.now();
     const listed = new Set(registrations.filter(({ server }) => server).map(({ id }) => id));
     const missing = [...this.servers.keys()].filter((id) => !listed.has(id));
     this.apply([...registrations, ...missing.map((id) => ({ id }))]);
--- /dev/null
+++ b/src/serving/RegistrationView.test.ts
@@ -0,0 +1,57 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { ServerDirectory } from '../common/serving/ServerDirectory.js';
+import { createServer } from '../common/serving/testing/fixtures.js';
+import { ManualClock } from '../common/serving/testing/ManualClock.js';
+import { createLogger } from '../telemetry/Logger.js';
+import { RegistrationView } from './RegistrationView.js';
+
+/** Longer than the store may take to deliver a change that a peer already knows, in ms. */
+const LATE_MS = 1000;
+
+/** @returns view of a process that knows one server at version 500 of the store's first era */
+function createView() {
+  const clock = new ManualClock();
+  const directory = new ServerDirectory(clock);
+  const decoder = {
+    configuration: () => ({ ok: false, reason: 'unused' }) as const,
+    registration: (id: string) => ({ ok: true, value: { id, server: createServer(id) } }) as const,
+  };
+  const logger = createLogger('test', 'error', () => undefined);
+  const view = new RegistrationView(clock, directory, decoder, logger, () => undefined);
+  view.markStoreReachable();
+  view.replaceAll([{ key: 's1', value: Buffer.from('1') }], { era: 1, version: 500 }, false);
+  return { clock, directory, view };
+}
+
+/** @returns whether the view copies the registrations of a peer after it has waited for the store */
+function copiesLater({ clock, view }: ReturnType<typeof createView>, era: number, version: number) {
+  const peer = { serverEra: era, serverVersion: version, serverDigest: -1 };
+  view.shouldCopyFrom(peer);
+  clock.set(clock.now() + LATE_MS);
+  return view.shouldCopyFrom(peer);
+}
+
+const rowOf = (id: string) => [id, Buffer.from(id).toString('base64')] as const;
+
+describe('RegistrationView after the store was restored', () => {
+  it('copies the registrations of a peer in a later era although their version is lower', () => {
+    const fixture = createView();
+    assert.ok(copiesLater(fixture, 2, 300));
+    fixture.view.applyIfNewer({ era: 2, version: 300, rows: [rowOf('s1'), rowOf('s2')] }, 'peer');
+    assert.deepEqual(fixture.view.position, { era: 2, version: 300 });
+    assert.equal(fixture.directory.size, 2);
+  });
+
+  it('does not copy those of a peer in an earlier era although their version is higher', () => {
+    const fixture = createView();
+    fixture.view.replaceAll(
+      [{ key: 's1', value: Buffer.from('1') }],
+      { era: 2, version: 300 },
+      true,
+    );
+    assert.equal(copiesLater(fixture, 1, 900), false);
+    fixture.view.applyIfNewer({ era: 1, version: 900, rows: [rowOf('s2')] }, 'peer');
+    assert.equal(fixture.directory.get('s2'), undefined);
+  });
+});
--- a/src/serving/RegistrationView.ts
+++ b/src/serving/RegistrationView.ts
@@ -1,6 +1,10 @@
 import murmurhash from 'murmurhash';
 import type { Clock } from '../common/time/Types.js';
-import type { StorePosition } from '../common/serving/StorePosition.js';
+import {
+  isLaterPosition,
+  UNKNOWN_POSITION,
+  type StorePosition,
+} from '../common/serving/StorePosition.js';
 import type { ServerDirectory } from '../common/serving/ServerDirectory.js';
 import type { FeedRow } from '../storage/RowFeed.js';
 import type { Logger } from '../telemetry/Logger.js';
@@ -14,16 +18,16 @@
 const DIGEST_RANGE = 2 ** 32;
 
 /** The fields of a heartbeat that identify the registrations known to its sender. */
-type PeerRegistrationState = Pick<Heartbeat, 'serverVersion' | 'serverDigest'>;
+type PeerRegistrationState = Pick<Heartbeat, 'serverEra' | 'serverVersion' | 'serverDigest'>;
 
 /**
  * Replica of the backend servers' registrations in the store. While the store does not respond, a
- * process copies them from a peer that knows a later version of the store.
+ * process copies them from a peer that knows a later position of the store.
  */
 export class RegistrationView {
   private readonly rows = new Map<string, Buffer>();
 
-  private newestVersion = -1;
+  private newestPosition = UNKNOWN_POSITION;
 
   private isStoreUnreachable = true;
 
@@ -46,15 +50,15 @@
     private readonly onApplied: () => void,
   ) {}
 
-  /** Version of the store up to which the registrations are known; -1 for none. */
-  get version(): number {
-    return this.newestVersion;
+  /** Position of the store up to which the registrations are known. */
+  get position(): StorePosition {
+    return this.newestPosition;
   }
 
   /** The registrations for peers, encoded as in the store. */
   get snapshot(): RegistrationSnapshot {
     const rows = [...this.rows].map(([key, value]) => [key, value.toString('base64')] as const);
-    return { version: this.newestVersion, rows };
+    return { ...this.newestPosition, rows };
   }
 
   /** Hash of the registrations; equal in processes that know the same ones. */
@@ -68,8 +72,10 @@
    * reaches processes at slightly different times.
    * @returns whether to copy them now
    */
-  shouldCopyFrom({ serverVersion, serverDigest }: PeerRegistrationState): boolean {
-    const isBehind = serverVersion > this.newestVersion && serverDigest !== this.rowsDigest;
+  shouldCopyFrom({ serverEra, serverVersion, serverDigest }: PeerRegistrationState): boolean {
+    const position = { era: serverEra, version: serverVersion };
+    const isLater = isLaterPosition(position, this.newestPosition);
+    const isBehind = isLater && serverDigest !== this.rowsDigest;
     if (!isBehind) this.behindSince = undefined;
     else this.behindSince ??= this.clock.now();
     const behindMs = this.clock.now() - (this.behindSince ?? Infinity);
@@ -91,8 +97,8 @@
    * @param rows - changed rows; one without a value was removed
    * @param position - position of the store after these changes
    */
-  apply(rows: readonly FeedRow[], { version }: StorePosition): void {
-    this.newestVersion = Math.max(this.newestVersion, version);
+  apply(rows: readonly FeedRow[], position: StorePosition): void {
+    if (isLaterPosition(position, this.newestPosition)) this.newestPosition = position;
     rows.forEach(({ key, value }) => {
       if (value) this.rows.set(key, value);
       else this.rows.delete(key);
@@ -106,13 +112,17 @@
    * Replaces all rows.
    * @param rows - all rows of the table
    * @param position - position of the store that they belong to
+   * @param isRestored - whether the store was restored since the rows were known
    */
-  replaceAll(rows: readonly FeedRow[], { version }: StorePosition): void {
+  replaceAll(rows: readonly FeedRow[], position: StorePosition, isRestored: boolean): void {
     this.rows.clear();
-    this.newestVersion = version;
+    this.newestPosition = position;
     rows.forEach(({ key, value }) => value && this.rows.set(key, value));
     this.updateDigest();
-    this.directory.replaceAll(rows.map((row) => this.decode(row)));
+    this.directory.replaceAll(
+      rows.map((row) => this.decode(row)),
+      isRestored,
+    );
     this.onApplied();
   }
 
@@ -121,11 +131,13 @@
    * @param snapshot - registrations of the peer
    * @param peerId - id of the peer, for the log
    */
-  applyIfNewer({ version, rows }: RegistrationSnapshot, peerId: string): void {
-    if (version <= this.newestVersion) return;
-    this.logger.info('registrations taken from a peer', { peer: peerId, version });
+  applyIfNewer({ rows, ...position }: RegistrationSnapshot, peerId: string): void {
+    const known = this.newestPosition;
+    if (!isLaterPosition(position, known)) return;
+    this.logger.info('registrations taken from a peer', { peer: peerId, ...position });
+    const isRestored = known !== UNKNOWN_POSITION && position.era !== known.era;
     const decoded = rows.map(([key, value]) => ({ key, value: Buffer.from(value, 'base64') }));
-    this.replaceAll(decoded, { era: 0, version });
+    this.replaceAll(decoded, position, isRestored);
   }
 
   private updateDigest(): void {
--- a/src/serving/ServingProcess.ts
+++ b/src/serving/ServingProcess.ts
@@ -16,6 +16,7 @@
 import { StageBatcher } from './StageBatcher.js';
 import { StageClient, toStageTask } from './StageClient.js';
 import { createRequestRunner } from './createRequestRunner.js';
+import { StoreEra } from './StoreEra.js';
 import { StoreFollowers } from './StoreFollowers.js';
 import { ChannelServer } from './peers/ChannelServer.js';
 import { Membership } from './peers/Membership.js';
@@ -81,6 +82,8 @@
 
   private readonly followers: StoreFollowers;
 
+  private readonly storeEra = new StoreEra();
+
   private readonly connections: BackendConnections;
 
   private readonly membership: Membership;
@@ -191,6 +194,7 @@
       logger,
       processCount: () => this.peerView.processCount,
       random: options.random,
+      storeEra: this.storeEra,
     });
     this.membership = new Membership({
       ownRow: { id: settings.id, address: this.peerAddress },
@@ -202,6 +206,7 @@
       configuration: this.configuration,
       registrations: this.registrations,
       observations: this.observations,
+      storeEra: this.storeEra,
     });
     this.crashingPartTable = new CrashingPartTable({
       table: options.names.crashingPartTable,
@@ -270,7 +275,8 @@
       apply: (rows) => this.applyConfiguration(rows),
     });
     this.followers.follow(names.serverTable, CHANGE_WAITS, {
-      replaceAll: (rows, position) => this.registrations.replaceAll(rows, position),
+      replaceAll: (rows, position, isRestored) =>
+        this.registrations.replaceAll(rows, position, isRestored),
       apply: (rows, position) => this.registrations.apply(rows, position),
       onStoreReachable: () => this.registrations.markStoreReachable(),
       onStoreUnreachable: () => this.registrations.markStoreUnreachable(),
@@ -382,7 +388,8 @@
       weight: this.batchingWeight,
       isLeaving: this.isStopping,
       configurationVersion: this.configuration.version,
-      serverVersion: this.registrations.version,
+      serverEra: this.registrations.position.era,
+      serverVersion: this.registrations.position.version,
       serverDigest: this.registrations.digest,
       backlogs: Object.fromEntries(this.batcher.backlogs()),
       ...this.observations.heartbeat,
--- a/src/serving/StoreFollowers.ts
+++ b/src/serving/StoreFollowers.ts
@@ -4,7 +4,7 @@
 /** Dependencies of {@link StoreFollowers}. */
 export interface StoreFollowersServices extends Pick<
   TableFollowerOptions,
-  'logger' | 'processCount' | 'random'
+  'logger' | 'processCount' | 'random' | 'storeEra'
 > {
   /** Opens a connection to the store. */
   readonly createFeed: () => RowFeed;
@@ -36,7 +36,7 @@
     waits: Pick<TableFollowerOptions, 'waitMs' | 'maxReadGapMs'>,
     listener: Partial<TableListener> & Pick<TableListener, 'replaceAll' | 'apply'>,
   ): void {
-    const { logger, processCount, random } = this.services;
+    const { logger, processCount, random, storeEra } = this.services;
     const follower = new TableFollower({
       feed: this.openFeed(),
       table,
@@ -49,6 +49,7 @@
       logger,
       processCount,
       random,
+      storeEra,
     });
     this.followers.push(follower);
     follower
--- a/src/serving/TableFollower.test.ts
+++ b/src/serving/TableFollower.test.ts
@@ -3,6 +3,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { RowFeed } from '../storage/RowFeed.js';
 import { createLogger } from '../telemetry/Logger.js';
+import { StoreEra } from './StoreEra.js';
 import { TableFollower } from './TableFollower.js';
 
 /** Time between two changes of the table. */
@@ -29,7 +30,12 @@
 }
 
 /** @returns follower of the feed's table in a fleet of the given size */
-function createFollower(feed: RowFeed, processes: number, apply: () => void): TableFollower {
+function createFollower(
+  feed: RowFeed,
+  processes: number,
+  apply: () => void,
+  storeEra = new StoreEra(),
+): TableFollower {
   return new TableFollower({
     feed,
     table: 'servers',
@@ -42,6 +48,7 @@
       onStoreUnreachable: () => undefined,
     },
     logger: createLogger('test', 'error', () => undefined),
+    storeEra,
     processCount: () => processes,
     random: () => 0.5,
   });
@@ -87,3 +94,31 @@
   // From about 33 processes on, the longest wait that the store allows limits the effect.
   assert.ok((await readsPerSecond(68)) < 2.5 * small);
 });
+
+test('stops waiting for changes and reads the whole table when another one shows a restore', async () => {
+  // Guards against a read that waits on a connection that the restore has silently broken.
+  const storeEra = new StoreEra();
+  const reads: number[] = [];
+  const feed: RowFeed = {
+    ...createBusyFeed().feed,
+    readAll: async () => {
+      reads.push(storeEra.current);
+      return { ok: true, value: { rows: [], position: { era: storeEra.current, version: 9 } } };
+    },
+    changes: (_table, _position, { signal }) =>
+      new Promise((resolve) => {
+        const error = { kind: 'unavailable', message: 'aborted' } as const;
+        signal?.addEventListener('abort', () => resolve({ ok: false, error }));
+      }),
+  };
+  storeEra.observe(1);
+  const follower = createFollower(feed, 2, () => undefined, storeEra);
+  const running = follower.run();
+  await sleep(CHANGE_MS);
+  storeEra.observe(2);
+  await sleep(CHANGE_MS);
+  assert.deepEqual(reads, [1, 2]);
+  follower.dispose();
+  storeEra.observe(3);
+  await Promise.race([running, sleep(CHANGE_MS)]);
+});
--- a/src/serving/TableFollower.ts
+++ b/src/serving/TableFollower.ts
@@ -1,8 +1,10 @@
 import { setTimeout as sleep } from 'node:timers/promises';
+import type { Disposable } from '../common/events/Types.js';
 import type { StorePosition } from '../common/serving/StorePosition.js';
 import type { FeedRow, RowFeed } from '../storage/RowFeed.js';
 import type { PlatformError } from '../storage/Types.js';
 import type { Logger } from '../telemetry/Logger.js';
+import type { StoreEra } from './StoreEra.js';
 
 /** Time-out of a read, in ms. The store responds in a few ms. */
 const READ_TIMEOUT_MS = 1000;
@@ -32,8 +34,12 @@
 
 /** Receives the rows of a table and the state of the store. */
 export interface TableListener {
-  /** Called with all rows of the table. */
-  replaceAll(rows: readonly FeedRow[], position: StorePosition): void;
+  /**
+   * Called with all rows of the table.
+   * @param isRestored - whether the store was restored since the previous call: rows that were known
+   *   may be older or missing until their writers write them again
+   */
+  replaceAll(rows: readonly FeedRow[], position: StorePosition, isRestored: boolean): void;
   /** Called with changed rows; may be called without rows when only the version has changed. */
   apply(rows: readonly FeedRow[], position: StorePosition): void;
   /** Called after each successful call of the store. */
@@ -55,6 +61,7 @@
   readonly maxReadGapMs: number;
   readonly listener: TableListener;
   readonly logger: Logger;
+  readonly storeEra: StoreEra;
   /** @returns number of processes that follow the table and notify each other of changes */
   readonly processCount: () => number;
   /** Random source for jitter, at least 0 and below 1. */
@@ -66,14 +73,23 @@
   /** Position up to which the table is known; undefined before it was read. */
   private position: StorePosition | undefined;
 
-  /** Era of the store in which the table was read last; undefined before the first read. */
-  private era: number | undefined;
+  /** Latest position that was read, also while the whole table is read again. */
+  private known: StorePosition | undefined;
 
   private failures = 0;
 
   private isStopped = false;
 
-  constructor(private readonly options: TableFollowerOptions) {}
+  /** Aborts the read that waits for changes. */
+  private waitingRead = new AbortController();
+
+  private readonly eraSubscription: Disposable;
+
+  constructor(private readonly options: TableFollowerOptions) {
+    this.eraSubscription = options.storeEra.onRaised((era) => {
+      if (this.position !== undefined && this.position.era < era) this.waitingRead.abort();
+    });
+  }
 
   /** Follows the table until {@link dispose} is called. */
   async run(): Promise<void> {
@@ -86,25 +102,36 @@
 
   dispose(): void {
     this.isStopped = true;
+    this.eraSubscription.dispose();
   }
 
   private async readAll(): Promise<PlatformError | undefined> {
-    const { feed, table, listener } = this.options;
+    const { feed, table, listener, storeEra } = this.options;
     const result = await feed.readAll(table, { timeoutMs: READ_TIMEOUT_MS });
     if (!result.ok) return result.error;
     listener.onStoreReachable();
     const { rows, position } = result.value;
-    this.recordEra(position);
+    const isRestored = this.isRestored(position);
+    this.known = position;
     this.position = position;
-    listener.replaceAll(rows, position);
+    listener.replaceAll(rows, position, isRestored);
+    storeEra.observe(position.era);
     return undefined;
   }
 
   private async readChanges(): Promise<PlatformError | undefined> {
-    const { feed, table, listener, logger } = this.options;
-    const pollWaitMs = this.pollWaitMs();
+    const { feed, table, listener, logger, storeEra } = this.options;
+    const known = this.position!;
+    // The store may have been restored while it was away, which only a response shows.
+    const pollWaitMs = this.failures > 0 ? 0 : this.pollWaitMs();
     const timeoutMs = pollWaitMs + READ_TIMEOUT_MS;
-    const result = await feed.changes(table, this.position!, { waitMs: pollWaitMs, timeoutMs });
+    this.waitingRead = new AbortController();
+    const { signal } = this.waitingRead;
+    const result = await feed.changes(table, known, { waitMs: pollWaitMs, timeoutMs, signal });
+    if (signal.aborted) {
+      this.position = undefined;
+      return undefined;
+    }
     if (!result.ok) return result.error;
     listener.onStoreReachable();
     if (result.value.kind === 'history-lost') {
@@ -113,20 +140,32 @@
       return undefined;
     }
     const { rows, position } = result.value.page;
-    this.recordEra(position);
-    this.position = { ...position, version: Math.max(this.position!.version, position.version) };
-    listener.apply(rows, this.position);
+    if (this.isRestored(position)) {
+      // The versions after the copy are given out again, so the changes may have gaps.
+      this.position = undefined;
+      storeEra.observe(position.era);
+      return undefined;
+    }
+    this.known = position;
+    this.position = position;
+    listener.apply(rows, position);
     if (rows.length > 0) await sleep(this.readGapMs());
     return undefined;
   }
 
-  private recordEra({ era, version }: StorePosition): void {
-    const { logger, table } = this.options;
-    const previous = this.position?.version;
-    if (this.era !== undefined && this.era !== era) {
-      logger.warn('store was restored', { table, era, previousEra: this.era, version, previous });
+  /** @returns whether the store was restored between the known position and this one */
+  private isRestored(position: StorePosition): boolean {
+    const { known } = this;
+    if (known === undefined) return false;
+    const isRestored = position.era !== known.era || position.version < known.version;
+    if (isRestored) {
+      this.options.logger.warn('store was restored', {
+        table: this.options.table,
+        position,
+        known,
+      });
     }
-    this.era = era;
+    return isRestored;
   }
 
   /**
--- a/src/serving/peers/Membership.ts
+++ b/src/serving/peers/Membership.ts
@@ -4,6 +4,7 @@
 import type { ConfigurationView } from '../ConfigurationView.js';
 import type { RegistrationView } from '../RegistrationView.js';
 import type { ServerObservations } from '../ServerObservations.js';
+import type { StoreEra } from '../StoreEra.js';
 import type { PeerClients } from './PeerClients.js';
 import { MemberRow, type Heartbeat } from './PeerMessages.js';
 import type { PeerView } from './PeerView.js';
@@ -26,6 +27,7 @@
   readonly configuration: ConfigurationView;
   readonly registrations: RegistrationView;
   readonly observations: ServerObservations;
+  readonly storeEra: StoreEra;
 }
 
 /**
@@ -82,9 +84,10 @@
 
   /** Processes a heartbeat and copies newer configuration and registrations from its sender. */
   handleHeartbeat(heartbeat: Heartbeat): void {
-    const { peerView, configuration, registrations, observations } = this.services;
+    const { peerView, configuration, registrations, observations, storeEra } = this.services;
     peerView.recordHeartbeat(heartbeat);
     observations.merge(heartbeat);
+    storeEra.observe(heartbeat.serverEra);
     // The heartbeat of a peer may arrive before its row has been read.
     if (!this.members.has(heartbeat.id)) this.members.set(heartbeat.id, heartbeat.address);
     if (heartbeat.configurationVersion > configuration.version) this.pullConfiguration(heartbeat);
--- a/src/serving/peers/PeerMessages.ts
+++ b/src/serving/peers/PeerMessages.ts
@@ -2,6 +2,7 @@
 import { z } from 'zod';
 import { CrashEvidence } from '../../common/serving/CrashingParts.js';
 import { ServerLimitReports } from '../../common/serving/ServerLimits.js';
+import type { StorePosition } from '../../common/serving/StorePosition.js';
 import type { TaskOutcome } from '../../common/serving/Types.js';
 
 /** State of a process, which it sends to all others several times a second, as one datagram. */
@@ -19,6 +20,8 @@
   isLeaving: z.boolean(),
   /** Version of the sender's configuration; -1 for none. */
   configurationVersion: z.number(),
+  /** Era of {@link serverVersion}; older versions send none. */
+  serverEra: z.number().default(0),
   /** Version of the store up to which the sender knows the registrations; -1 for none. */
   serverVersion: z.number(),
   /** Hash of the sender's registrations; equal in processes that know the same ones. */
@@ -73,8 +76,7 @@
 }
 
 /** All registrations of backend servers that a process knows, encoded as in the store. */
-export interface RegistrationSnapshot {
-  readonly version: number;
+export interface RegistrationSnapshot extends StorePosition {
   /** Keys and base64 values of the rows. */
   readonly rows: readonly (readonly [string, string])[];
 }
