Put a configuration in force whose number was given out before a restore

A configuration that the operator's store acknowledged after a restore was never in force if its number was not above the one known from before: processes took it for an older one. Taking every lower number would be as wrong, since the restored store holds an earlier configuration until the operator writes again.

ConfigurationOrder tells them apart by content: what was read in an earlier era is a leftover, also for a process that starts later and gets the list from a peer; unknown content that remains in the store for half a second is new. It gets a generation, which peers compare before the number. The readiness server and the parsing of addresses move out of ServingProcess.

--- a/src/serving/ServingProcess.ts
+++ b/src/serving/ServingProcess.ts
@@ -1,4 +1,3 @@
-import { createServer, type Server } from 'node:http';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { ResponseMemory } from '../common/response/ResponseMemory.js';
 import { ServerDirectory } from '../common/serving/ServerDirectory.js';
@@ -8,11 +7,13 @@
 import { CrashingPartTable } from './CrashingPartTable.js';
 import { BackendConnections } from './BackendConnections.js';
 import { Ingress } from './Ingress.js';
+import { ReadinessServer } from './ReadinessServer.js';
 import { RegistrationView } from './RegistrationView.js';
 import { RetryBudgets } from './RetryBudgets.js';
 import { ServerObservations } from './ServerObservations.js';
 import { ServingMetrics } from './ServingMetrics.js';
 import type { ServingProcessOptions } from './ServingProcessOptions.js';
+import { parseSocketAddress } from './SocketAddress.js';
 import { StageBatcher } from './StageBatcher.js';
 import { StageClient, toStageTask } from './StageClient.js';
 import { createRequestRunner } from './createRequestRunner.js';
@@ -36,8 +37,8 @@
 /** Reads of rows that may be late, because heartbeats also carry what they say. */
 const HEARTBEAT_BACKED_WAITS = { waitMs: 10_000, maxReadGapMs: 5000 };
 
-/** Interval of checks for delayed removals of servers that have not registered again, in ms. */
-const REMOVAL_CHECK_INTERVAL_MS = 100;
+/** Interval of checks for delayed removals of servers and for pending configurations, in ms. */
+const DELAYED_CHANGE_INTERVAL_MS = 100;
 
 /**
  * Time after readiness fails until the load balancer stops sending connections, in ms: two failed
@@ -76,7 +77,7 @@
 
   private readonly ingress: Ingress;
 
-  private readonly readinessServer: Server;
+  private readonly readinessServer: ReadinessServer;
 
   private readonly peerServer: PeerServer;
 
@@ -90,7 +91,7 @@
 
   private readonly incarnation: number;
 
-  private removalTimer: NodeJS.Timeout | undefined;
+  private delayedChangeTimer: NodeJS.Timeout | undefined;
 
   private isStopping = false;
 
@@ -102,7 +103,7 @@
     this.incarnation = clock.wallTime();
     this.peerClients = new PeerClients(logger);
     this.directory = new ServerDirectory(clock);
-    this.configuration = new ConfigurationView(options.decoder, logger);
+    this.configuration = new ConfigurationView(clock, options.decoder, logger);
     this.registrations = new RegistrationView(clock, this.directory, options.decoder, logger, () =>
       this.batcher.updateServers(),
     );
@@ -178,9 +179,7 @@
       this.ingress.applyLimits(routes.configuration.limits);
       this.batcher.updateServers();
     });
-    this.readinessServer = createServer((_request, response) => {
-      response.writeHead(this.isReady ? 200 : 503).end();
-    });
+    this.readinessServer = new ReadinessServer(() => this.isReady);
     this.channelServer = new ChannelServer(
       {
         runStage: (request, cancellation) =>
@@ -263,16 +262,12 @@
     const { settings, names, logger } = this.options;
     await this.peerServer.start();
     await this.channelServer.listen(settings.ip, this.channelPort);
-    const readiness = parseAddress(settings.listen.readiness);
-    await new Promise<void>((resolve, reject) => {
-      this.readinessServer.once('error', reject);
-      this.readinessServer.listen(readiness.port, readiness.ip, resolve);
-    });
-    const callers = parseAddress(settings.listen.callers);
+    await this.readinessServer.listen(settings.listen.readiness);
+    const callers = parseSocketAddress(settings.listen.callers);
     await this.ingress.listen(callers.ip, callers.port);
     this.followers.follow(names.configurationTable, CHANGE_WAITS, {
-      replaceAll: (rows) => this.applyConfiguration(rows),
-      apply: (rows) => this.applyConfiguration(rows),
+      replaceAll: (rows, { era }) => this.applyConfiguration(rows, era),
+      apply: (rows, { era }) => this.applyConfiguration(rows, era),
     });
     this.followers.follow(names.serverTable, CHANGE_WAITS, {
       replaceAll: (rows, position, isRestored) =>
@@ -289,7 +284,10 @@
       replaceAll: (rows) => this.crashingPartTable.replaceAll(rows),
       apply: (rows) => this.crashingPartTable.apply(rows),
     });
-    this.removalTimer = setInterval(() => this.expireRemovals(), REMOVAL_CHECK_INTERVAL_MS);
+    this.delayedChangeTimer = setInterval(() => {
+      this.configuration.applySettled();
+      this.expireRemovals();
+    }, DELAYED_CHANGE_INTERVAL_MS);
     this.membership
       .announce()
       .catch((error: unknown) => logger.error('announcing the member row failed', { error }));
@@ -329,7 +327,7 @@
 
   /** Stops immediately without finishing requests, as if the process were killed. */
   async dispose(): Promise<void> {
-    clearInterval(this.removalTimer);
+    clearInterval(this.delayedChangeTimer);
     this.membership.dispose();
     this.crashingPartTable.dispose();
     this.peerServer.dispose();
@@ -337,16 +335,15 @@
     this.peerClients.dispose();
     this.batcher.dispose();
     this.ingress.dispose();
-    this.readinessServer.close();
-    this.readinessServer.closeAllConnections();
+    this.readinessServer.dispose();
     await this.followers.dispose();
     this.connections.dispose();
   }
 
-  private applyConfiguration(rows: readonly FeedRow[]): void {
+  private applyConfiguration(rows: readonly FeedRow[], era: number): void {
     rows
       .filter(({ key }) => key === this.options.names.configurationKey)
-      .forEach(({ value }) => value && this.configuration.applyIfNewer(value, 'store'));
+      .forEach(({ value }) => value && this.configuration.applyStored(value, era));
   }
 
   private expireRemovals(): void {
@@ -388,6 +385,7 @@
       weight: this.batchingWeight,
       isLeaving: this.isStopping,
       configurationVersion: this.configuration.version,
+      configurationGeneration: this.configuration.rank.generation,
       serverEra: this.registrations.position.era,
       serverVersion: this.registrations.position.version,
       serverDigest: this.registrations.digest,
@@ -396,8 +394,3 @@
     };
   }
 }
-
-function parseAddress(address: string): { ip: string; port: number } {
-  const separator = address.lastIndexOf(':');
-  return { ip: address.slice(0, separator), port: Number(address.slice(separator + 1)) };
-}
--- a/src/serving/peers/Membership.ts
+++ b/src/serving/peers/Membership.ts
@@ -1,4 +1,5 @@
 import { setTimeout as sleep } from 'node:timers/promises';
+import { isNewerConfiguration } from '../../common/serving/ConfigurationOrder.js';
 import type { FeedRow, RowFeed } from '../../storage/RowFeed.js';
 import type { Logger } from '../../telemetry/Logger.js';
 import type { ConfigurationView } from '../ConfigurationView.js';
@@ -90,7 +91,10 @@
     storeEra.observe(heartbeat.serverEra);
     // The heartbeat of a peer may arrive before its row has been read.
     if (!this.members.has(heartbeat.id)) this.members.set(heartbeat.id, heartbeat.address);
-    if (heartbeat.configurationVersion > configuration.version) this.pullConfiguration(heartbeat);
+    const { configurationVersion: version, configurationGeneration: generation } = heartbeat;
+    if (isNewerConfiguration({ generation, version }, configuration.rank)) {
+      this.pullConfiguration(heartbeat);
+    }
     if (registrations.shouldCopyFrom(heartbeat)) this.pullRegistrations(heartbeat);
   }
 
@@ -100,7 +104,7 @@
       const snapshot = await peerClients
         .clientFor(address)
         .configuration.query(undefined, { signal });
-      if (snapshot) configuration.applyIfNewer(Buffer.from(snapshot.value, 'base64'), id);
+      if (snapshot) configuration.applyFromPeer(snapshot, id);
     });
   }
 
--- a/src/serving/peers/PeerMessages.ts
+++ b/src/serving/peers/PeerMessages.ts
@@ -1,5 +1,6 @@
 /** Messages between serving processes. */
 import { z } from 'zod';
+import type { ConfigurationHistory } from '../../common/serving/ConfigurationOrder.js';
 import { CrashEvidence } from '../../common/serving/CrashingParts.js';
 import { ServerLimitReports } from '../../common/serving/ServerLimits.js';
 import type { StorePosition } from '../../common/serving/StorePosition.js';
@@ -20,6 +21,8 @@
   isLeaving: z.boolean(),
   /** Version of the sender's configuration; -1 for none. */
   configurationVersion: z.number(),
+  /** Generation of that configuration; older versions send none. */
+  configurationGeneration: z.number().default(0),
   /** Era of {@link serverVersion}; older versions send none. */
   serverEra: z.number().default(0),
   /** Version of the store up to which the sender knows the registrations; -1 for none. */
@@ -81,9 +84,8 @@
   readonly rows: readonly (readonly [string, string])[];
 }
 
-/** The configuration of a process, encoded as in the store. */
-export interface ConfigurationSnapshot {
-  readonly version: number;
+/** The configuration of a process, encoded as in the store, and what it knows about its order. */
+export interface ConfigurationSnapshot extends ConfigurationHistory {
   /** Row value in base64. */
   readonly value: string;
 }
