Write the row of a process again when the store has lost it

After a restore the members table lacked the processes that had announced themselves in the lost seconds: the row was written once and believed to last, so a process that starts later never learned of them, and those that lacked each other's rows forgot the addresses. OwnRow compares the row with each read of the table and writes it again, spread over a second; in the same way a row that comes back after a stop is removed again. A read of all members keeps those that are alive by their heartbeats.

--- a/src/serving/ServingProcess.ts
+++ b/src/serving/ServingProcess.ts
@@ -200,6 +200,7 @@
       table: options.names.memberTable,
       feed: this.followers.openFeed(),
       logger,
+      random: options.random,
       peerClients: this.peerClients,
       peerView: this.peerView,
       configuration: this.configuration,
--- a/src/serving/peers/Membership.ts
+++ b/src/serving/peers/Membership.ts
@@ -1,4 +1,3 @@
-import { setTimeout as sleep } from 'node:timers/promises';
 import { isNewerConfiguration } from '../../common/serving/ConfigurationOrder.js';
 import type { FeedRow, RowFeed } from '../../storage/RowFeed.js';
 import type { Logger } from '../../telemetry/Logger.js';
@@ -7,13 +6,10 @@
 import type { ServerObservations } from '../ServerObservations.js';
 import type { StoreEra } from '../StoreEra.js';
 import type { PeerClients } from './PeerClients.js';
+import { OwnRow } from './OwnRow.js';
 import { MemberRow, type Heartbeat } from './PeerMessages.js';
 import type { PeerView } from './PeerView.js';
 
-/** Time-out of a write of the member row, in ms. */
-const WRITE_TIMEOUT_MS = 1000;
-const WRITE_RETRY_DELAY_MS = 500;
-
 /** Time-out for copying the configuration or the registrations of a peer, in ms. */
 const PULL_TIMEOUT_MS = 1000;
 
@@ -23,6 +19,7 @@
   readonly table: string;
   readonly feed: RowFeed;
   readonly logger: Logger;
+  readonly random: () => number;
   readonly peerClients: PeerClients;
   readonly peerView: PeerView;
   readonly configuration: ConfigurationView;
@@ -39,28 +36,38 @@
 export class Membership {
   private readonly members = new Map<string, string>();
 
-  private isLeaving = false;
+  private readonly ownRow: OwnRow;
 
   private readonly activePulls = new Set<string>();
 
-  constructor(private readonly services: MembershipServices) {}
+  constructor(private readonly services: MembershipServices) {
+    this.ownRow = new OwnRow({ ...services, key: services.ownRow.id });
+  }
 
   /** Addresses of the other processes. */
   get addresses(): string[] {
     return [...this.members.values()];
   }
 
-  /** Replaces all members with those of the given rows. */
+  /** Replaces all members with those of the given rows, except the ones that are alive. */
   replaceRows(rows: readonly FeedRow[]): void {
-    this.members.clear();
+    const { peerView, ownRow } = this.services;
+    [...this.members.keys()]
+      .filter((id) => !peerView.isLive(id))
+      .forEach((id) => this.members.delete(id));
     this.applyRows(rows);
+    if (!rows.some(({ key }) => key === ownRow.id)) this.ownRow.compareWith(undefined);
   }
 
   /** Applies changed member rows; one without a value was removed. */
   applyRows(rows: readonly FeedRow[]): void {
     rows.forEach(({ key, value }) => {
+      if (key === this.services.ownRow.id) {
+        this.ownRow.compareWith(value);
+        return;
+      }
       this.members.delete(key);
-      if (!value || key === this.services.ownRow.id) return;
+      if (!value) return;
       const member = MemberRow.safeParse(parseJson(value));
       if (member.success) this.members.set(key, member.data.address);
       else this.services.logger.warn('invalid member row ignored', { member: key });
@@ -68,19 +75,18 @@
   }
 
   /** Writes the row of this process, with retries until it succeeds or the process leaves. */
-  async announce(): Promise<void> {
-    await this.writeRow(Buffer.from(JSON.stringify(this.services.ownRow)), () => this.isLeaving);
+  announce(): Promise<void> {
+    return this.ownRow.announce(Buffer.from(JSON.stringify(this.services.ownRow)));
   }
 
-  /** Stops the retries of {@link announce}. */
+  /** Stops writing the row of this process. */
   dispose(): void {
-    this.isLeaving = true;
+    this.ownRow.dispose();
   }
 
   /** Removes the row of this process. A failed write is not retried. */
-  async withdraw(): Promise<void> {
-    this.isLeaving = true;
-    await this.writeRow(undefined, () => true);
+  withdraw(): Promise<void> {
+    return this.ownRow.withdraw();
   }
 
   /** Processes a heartbeat and copies newer configuration and registrations from its sender. */
@@ -128,17 +134,6 @@
       )
       .finally(() => this.activePulls.delete(kind));
   }
-
-  private async writeRow(value: Buffer | undefined, shouldStop: () => boolean): Promise<void> {
-    const { feed, table, ownRow, logger } = this.services;
-    for (;;) {
-      const result = await feed.write(table, ownRow.id, value, { timeoutMs: WRITE_TIMEOUT_MS });
-      if (result.ok) return;
-      logger.warn('member row not written', { error: result.error });
-      if (shouldStop()) return;
-      await sleep(WRITE_RETRY_DELAY_MS);
-    }
-  }
 }
 
 function parseJson(value: Buffer): unknown {
