Send no requests to servers that a restored store shows as ready again

A process that started after the restore could not know better.

ServerDepartures keeps which incarnations of servers leave, beyond their rows. A row of a restored copy ends a departure only if its number within the server's life is higher; if a removed server is still listed after the time in which the store expires silent ones, it is alive. Heartbeats carry the departures that the store contradicts. The subscriptions to the store's tables move out of ServingProcess; drain and heartbeat bounds are settings.

--- a/src/common/serving/ServerDirectory.test.ts
+++ b/src/common/serving/ServerDirectory.test.ts
@@ -2,11 +2,11 @@
 import { describe, it } from 'node:test';
 import { REREGISTRATION_PERIOD_MS, ServerDirectory } from './ServerDirectory.js';
 import { ManualClock } from './testing/ManualClock.js';
-import { createServer } from './testing/fixtures.js';
+import { createDepartures, createServer } from './testing/fixtures.js';
 
 function createDirectory() {
   const clock = new ManualClock();
-  const directory = new ServerDirectory(clock);
+  const directory = new ServerDirectory(clock, createDepartures(clock));
   directory.markStoreReachable();
   clock.set(10 * REREGISTRATION_PERIOD_MS);
   const register = (id: string, overrides = {}) =>
--- a/src/common/serving/ServerDirectory.ts
+++ b/src/common/serving/ServerDirectory.ts
@@ -1,5 +1,6 @@
 import { Emitter } from '../events/Emitter.js';
 import type { Clock } from '../time/Types.js';
+import type { ServerDepartures } from './ServerDepartures.js';
 import type { BackendServer } from './ServingConfiguration.js';
 
 /** A changed registration. `server` is missing if the row was removed or is malformed. */
@@ -49,7 +50,17 @@
   /** Fired with the current registration when a server registers or changes its registration. */
   readonly onChanged = this.changedEmitter.event;
 
-  constructor(private readonly clock: Clock) {}
+  /**
+   * @param clock - time source
+   * @param departures - servers that leave; they are usable only within their grace time
+   */
+  constructor(
+    private readonly clock: Clock,
+    private readonly departures: ServerDepartures,
+  ) {
+    departures.onChanged(() => this.usableByService.clear());
+    departures.onEnded(() => this.usableByService.clear());
+  }
 
   /** Called when a call to the store fails. */
   markStoreUnreachable(): void {
@@ -63,10 +74,14 @@
     this.storeReachableSince = this.clock.now();
   }
 
-  /** Applies changed registrations. */
-  apply(registrations: readonly RegistrationChange[]): void {
+  /**
+   * Applies changed registrations.
+   * @param registrations - changed registrations
+   * @param isRestored - whether they may be older than the known ones
+   */
+  apply(registrations: readonly RegistrationChange[], isRestored = false): void {
     registrations.forEach(({ id, server }) => {
-      if (server) this.register(server);
+      if (server) this.register(server, isRestored);
       else this.scheduleRemoval(id);
     });
     this.applyDueRemovals();
@@ -75,14 +90,14 @@
   /**
    * Applies the complete list of registrations; servers missing from the list are removed.
    * @param registrations - all registrations
-   * @param isRestored - whether the store was restored from a copy since the known registrations,
-   *   so that servers which registered after the copy have to do so again
+   * @param isRestored - whether the store was restored from a copy since the known registrations:
+   *   servers that registered after the copy have to do so again, and those that left are listed
    */
   replaceAll(registrations: readonly RegistrationChange[], isRestored = false): void {
     if (isRestored) this.storeReachableSince = this.clock.now();
     const listed = new Set(registrations.filter(({ server }) => server).map(({ id }) => id));
     const missing = [...this.servers.keys()].filter((id) => !listed.has(id));
-    this.apply([...registrations, ...missing.map((id) => ({ id }))]);
+    this.apply([...registrations, ...missing.map((id) => ({ id }))], isRestored);
   }
 
   /** Removes servers whose delayed removal is due. */
@@ -104,13 +119,21 @@
     return this.serversByAddress.get(address);
   }
 
-  /** @returns the servers of the service that are not draining */
+  /**
+   * @param service - name of a service
+   * @returns its servers that stay; if there are none, those that leave and are in their grace time
+   */
   usable(service: string): readonly BackendServer[] {
     const known = this.usableByService.get(service);
     if (known) return known;
-    const usable = [...this.servers.values()].filter(
+    const registered = [...this.servers.values()].filter(
       (server) => server.service === service && !server.isDraining,
     );
+    const staying = registered.filter((server) => !this.departures.has(server));
+    const usable =
+      staying.length > 0
+        ? staying
+        : registered.filter((server) => this.departures.isInGrace(server));
     // Only services with servers are kept, which bounds the map.
     if (usable.length > 0) this.usableByService.set(service, usable);
     return usable;
@@ -121,12 +144,19 @@
     return this.servers.size;
   }
 
-  private register(server: BackendServer): void {
+  private register(server: BackendServer, isRestored: boolean): void {
     this.delayedRemovals.delete(server.id);
     const current = this.servers.get(server.id);
+    if (isRestored && current && isEarlier(server, current)) {
+      this.departures.recordReady(server, isRestored);
+      return;
+    }
     if (current && isRestart(current, server)) this.remove(server.id);
+    if (server.isDraining) this.departures.recordRegistration(server);
+    else this.departures.recordReady(server, isRestored);
     const previous = this.findByAddress(server.address);
     // Only one server can listen on an address: the one that registered last.
+    if (previous && previous.id !== server.id && isRestored && this.departures.has(server)) return;
     if (previous && previous.id !== server.id) this.remove(previous.id);
     this.servers.set(server.id, server);
     this.serversByAddress.set(server.address, server);
@@ -152,10 +182,19 @@
     if (!server) return;
     this.serversByAddress.delete(server.address);
     this.usableByService.clear();
+    this.departures.recordRegistration(server);
     this.removedEmitter.fire(server);
   }
 }
 
+/** Whether a registration was written before another one of the same server. */
+function isEarlier(left: BackendServer, right: BackendServer): boolean {
+  if (left.startedAtMs !== right.startedAtMs) {
+    return (left.startedAtMs ?? 0) < (right.startedAtMs ?? 0);
+  }
+  return (left.sequence ?? 0) < (right.sequence ?? 0);
+}
+
 /** Whether the server was restarted since its previous registration. */
 function isRestart(previous: BackendServer, current: BackendServer): boolean {
   return previous.startedAtMs !== current.startedAtMs || previous.address !== current.address;
--- a/src/common/serving/ServingConfiguration.ts
+++ b/src/common/serving/ServingConfiguration.ts
@@ -125,5 +125,7 @@
   isDraining: z.boolean(),
   /** Start of the server's process, in Unix ms. A restarted server has lost its state. */
   startedAtMs: z.number().optional(),
+  /** Number of the registration within the server's life; a later one has a higher number. */
+  sequence: z.number().optional(),
 });
 export type BackendServer = z.infer<typeof BackendServer>;
--- a/src/common/serving/testing/fixtures.ts
+++ b/src/common/serving/testing/fixtures.ts
@@ -5,6 +5,8 @@
   ServingConfiguration,
   StageCapacity,
 } from '../ServingConfiguration.js';
+import { ServerDepartures } from '../ServerDepartures.js';
+import type { Clock } from '../../time/Types.js';
 import type { StageTask } from '../Types.js';
 
 /** @returns capacity of a retrieval service whose calls have a large fixed duration */
@@ -88,3 +90,8 @@
     ...overrides,
   };
 }
+
+/** @returns no departures yet, with the bounds of a small deployment */
+export function createDepartures(clock: Clock): ServerDepartures {
+  return new ServerDepartures(clock, { graceMs: 1500, registrationLifetimeMs: 5000 });
+}
--- a/src/serving/RegistrationView.test.ts
+++ b/src/serving/RegistrationView.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 import { ServerDirectory } from '../common/serving/ServerDirectory.js';
-import { createServer } from '../common/serving/testing/fixtures.js';
+import { createDepartures, createServer } from '../common/serving/testing/fixtures.js';
 import { ManualClock } from '../common/serving/testing/ManualClock.js';
 import { createLogger } from '../telemetry/Logger.js';
 import { RegistrationView } from './RegistrationView.js';
@@ -12,7 +12,7 @@
 /** @returns view of a process that knows one server at version 500 of the store's first era */
 function createView() {
   const clock = new ManualClock();
-  const directory = new ServerDirectory(clock);
+  const directory = new ServerDirectory(clock, createDepartures(clock));
   const decoder = {
     configuration: () => ({ ok: false, reason: 'unused' }) as const,
     registration: (id: string) => ({ ok: true, value: { id, server: createServer(id) } }) as const,
--- a/src/serving/ServingProcess.ts
+++ b/src/serving/ServingProcess.ts
@@ -2,10 +2,10 @@
 import { ResponseMemory } from '../common/response/ResponseMemory.js';
 import { ServerDirectory } from '../common/serving/ServerDirectory.js';
 import type { BackendServer } from '../common/serving/ServingConfiguration.js';
-import type { FeedRow } from '../storage/RowFeed.js';
 import { ConfigurationView } from './ConfigurationView.js';
 import { CrashingPartTable } from './CrashingPartTable.js';
 import { BackendConnections } from './BackendConnections.js';
+import { departureBoundsOf } from './DepartureBounds.js';
 import { Ingress } from './Ingress.js';
 import { ReadinessServer } from './ReadinessServer.js';
 import { RegistrationView } from './RegistrationView.js';
@@ -19,6 +19,7 @@
 import { createRequestRunner } from './createRequestRunner.js';
 import { StoreEra } from './StoreEra.js';
 import { StoreFollowers } from './StoreFollowers.js';
+import { followStoreTables } from './StoreTables.js';
 import { ChannelServer } from './peers/ChannelServer.js';
 import { Membership } from './peers/Membership.js';
 import type { Heartbeat } from './peers/PeerMessages.js';
@@ -27,16 +28,6 @@
 import { PeerServer } from './peers/PeerServer.js';
 import { PeerView } from './peers/PeerView.js';
 
-/**
- * Reads of the configuration and of servers. The store charges for each call. A silently lost
- * connection is detected only after the wait, but a peer whose wait ends earlier notifies this
- * process. The pause is a third of the time in which changes must take effect.
- */
-const CHANGE_WAITS = { waitMs: 3000, maxReadGapMs: 1000 };
-
-/** Reads of rows that may be late, because heartbeats also carry what they say. */
-const HEARTBEAT_BACKED_WAITS = { waitMs: 10_000, maxReadGapMs: 5000 };
-
 /** Interval of checks for delayed removals of servers and for pending configurations, in ms. */
 const DELAYED_CHANGE_INTERVAL_MS = 100;
 
@@ -102,16 +93,21 @@
     const { clock, logger, settings, protocol, metrics } = options;
     this.incarnation = clock.wallTime();
     this.peerClients = new PeerClients(logger);
-    this.directory = new ServerDirectory(clock);
+    this.observations = new ServerObservations(
+      clock,
+      logger,
+      departureBoundsOf(settings.servers),
+      (server, requestsPerS) => this.limitShareOf(server, requestsPerS),
+    );
+    const { limits, crashingParts, departures } = this.observations;
+    this.directory = new ServerDirectory(clock, departures);
+    departures.onChanged(() => this.batcher.updateServers());
+    departures.onEnded(() => this.batcher.updateServers());
     this.configuration = new ConfigurationView(clock, options.decoder, logger);
     this.registrations = new RegistrationView(clock, this.directory, options.decoder, logger, () =>
       this.batcher.updateServers(),
     );
     this.peerView = new PeerView(clock, () => this.createHeartbeat());
-    this.observations = new ServerObservations(clock, logger, (server, requestsPerS) =>
-      this.limitShareOf(server, requestsPerS),
-    );
-    const { limits, crashingParts } = this.observations;
     const { ratio, slack, windowSeconds } = settings.retryBudget;
     const processCount = () => this.peerView.processCount;
     const allowance = { ratio, slack, windowMs: windowSeconds * 1000 };
@@ -266,27 +262,15 @@
     await this.readinessServer.listen(settings.listen.readiness);
     const callers = parseSocketAddress(settings.listen.callers);
     await this.ingress.listen(callers.ip, callers.port);
-    this.followers.follow(names.configurationTable, CHANGE_WAITS, {
-      replaceAll: (rows, { era }) => this.applyConfiguration(rows, era),
-      apply: (rows, { era }) => this.applyConfiguration(rows, era),
-    });
-    this.followers.follow(names.serverTable, CHANGE_WAITS, {
-      replaceAll: (rows, position, isRestored) =>
-        this.registrations.replaceAll(rows, position, isRestored),
-      apply: (rows, position) => this.registrations.apply(rows, position),
-      onStoreReachable: () => this.registrations.markStoreReachable(),
-      onStoreUnreachable: () => this.registrations.markStoreUnreachable(),
-    });
-    this.followers.follow(names.memberTable, HEARTBEAT_BACKED_WAITS, {
-      replaceAll: (rows) => this.membership.replaceRows(rows),
-      apply: (rows) => this.membership.applyRows(rows),
-    });
-    this.followers.follow(names.crashingPartTable, HEARTBEAT_BACKED_WAITS, {
-      replaceAll: (rows) => this.crashingPartTable.replaceAll(rows),
-      apply: (rows) => this.crashingPartTable.apply(rows),
+    followStoreTables(this.followers, names, {
+      configuration: this.configuration,
+      registrations: this.registrations,
+      membership: this.membership,
+      crashingPartTable: this.crashingPartTable,
     });
     this.delayedChangeTimer = setInterval(() => {
       this.configuration.applySettled();
+      this.observations.departures.check();
       this.expireRemovals();
     }, DELAYED_CHANGE_INTERVAL_MS);
     this.membership
@@ -341,12 +325,6 @@
     this.connections.dispose();
   }
 
-  private applyConfiguration(rows: readonly FeedRow[], era: number): void {
-    rows
-      .filter(({ key }) => key === this.options.names.configurationKey)
-      .forEach(({ value }) => value && this.configuration.applyStored(value, era));
-  }
-
   private expireRemovals(): void {
     const before = this.directory.size;
     this.directory.applyDueRemovals();
--- a/src/serving/ServingSettings.ts
+++ b/src/serving/ServingSettings.ts
@@ -36,6 +36,13 @@
     slack: z.number().min(0),
     windowSeconds: z.number().positive(),
   }),
+  /** Bounds of what backend servers do before they end. */
+  servers: z.object({
+    /** Time after which a server that leaves must get no more requests, in ms. */
+    drainMs: z.number().positive(),
+    /** Longest time between two registrations of a server, in ms. */
+    heartbeatMs: z.number().positive(),
+  }),
   /** Bounds of what a backend server may send. */
   responseLimits: ResponseLimits,
   log: LogSettings,
--- /dev/null
+++ b/src/serving/StoreTables.ts
@@ -0,0 +1,61 @@
+/** Subscribes the views of a process to the tables of the store. */
+import type { FeedRow } from '../storage/RowFeed.js';
+import type { ConfigurationView } from './ConfigurationView.js';
+import type { CrashingPartTable } from './CrashingPartTable.js';
+import type { RegistrationView } from './RegistrationView.js';
+import type { StoreNames } from './ServingProcessOptions.js';
+import type { StoreFollowers } from './StoreFollowers.js';
+import type { Membership } from './peers/Membership.js';
+
+/**
+ * Reads of the configuration and of servers. The store charges for each call. A silently lost
+ * connection is detected only after the wait, but a peer whose wait ends earlier notifies this
+ * process. The pause is a third of the time in which changes must take effect.
+ */
+const CHANGE_WAITS = { waitMs: 3000, maxReadGapMs: 1000 };
+
+/** Reads of rows that may be late, because heartbeats also carry what they say. */
+const HEARTBEAT_BACKED_WAITS = { waitMs: 10_000, maxReadGapMs: 5000 };
+
+/** Views that follow the tables. */
+export interface StoreViews {
+  readonly configuration: ConfigurationView;
+  readonly registrations: RegistrationView;
+  readonly membership: Membership;
+  readonly crashingPartTable: CrashingPartTable;
+}
+
+/**
+ * @param followers - followers of the process
+ * @param names - names of tables and keys
+ * @param views - receive the rows
+ */
+export function followStoreTables(
+  followers: StoreFollowers,
+  names: StoreNames,
+  { configuration, registrations, membership, crashingPartTable }: StoreViews,
+): void {
+  const applyConfiguration = (rows: readonly FeedRow[], era: number) =>
+    rows
+      .filter(({ key }) => key === names.configurationKey)
+      .forEach(({ value }) => value && configuration.applyStored(value, era));
+  followers.follow(names.configurationTable, CHANGE_WAITS, {
+    replaceAll: (rows, { era }) => applyConfiguration(rows, era),
+    apply: (rows, { era }) => applyConfiguration(rows, era),
+  });
+  followers.follow(names.serverTable, CHANGE_WAITS, {
+    replaceAll: (rows, position, isRestored) =>
+      registrations.replaceAll(rows, position, isRestored),
+    apply: (rows, position) => registrations.apply(rows, position),
+    onStoreReachable: () => registrations.markStoreReachable(),
+    onStoreUnreachable: () => registrations.markStoreUnreachable(),
+  });
+  followers.follow(names.memberTable, HEARTBEAT_BACKED_WAITS, {
+    replaceAll: (rows) => membership.replaceRows(rows),
+    apply: (rows) => membership.applyRows(rows),
+  });
+  followers.follow(names.crashingPartTable, HEARTBEAT_BACKED_WAITS, {
+    replaceAll: (rows) => crashingPartTable.replaceAll(rows),
+    apply: (rows) => crashingPartTable.apply(rows),
+  });
+}
--- a/src/serving/peers/PeerMessages.ts
+++ b/src/serving/peers/PeerMessages.ts
@@ -2,6 +2,7 @@
 import { z } from 'zod';
 import type { ConfigurationHistory } from '../../common/serving/ConfigurationOrder.js';
 import { CrashEvidence } from '../../common/serving/CrashingParts.js';
+import { ServerDepartureReports } from '../../common/serving/ServerDepartures.js';
 import { ServerLimitReports } from '../../common/serving/ServerLimits.js';
 import type { StorePosition } from '../../common/serving/StorePosition.js';
 import type { TaskOutcome } from '../../common/serving/Types.js';
@@ -37,6 +38,8 @@
   crashEvidence: CrashEvidence.default({ crashes: [], completed: {} }),
   /** Limits that servers named in responses to the sender; older versions send none. */
   serverLimits: ServerLimitReports.default({}),
+  /** Servers that the sender knows to leave; older versions send none. */
+  departures: ServerDepartureReports.default({}),
 });
 export type Heartbeat = z.infer<typeof Heartbeat>;
 
--- a/src/serving/peers/testing/fixtures.ts
+++ b/src/serving/peers/testing/fixtures.ts
@@ -19,6 +19,7 @@
     engines: {},
     crashEvidence: { crashes: [], completed: {} },
     serverLimits: {},
+    departures: {},
     ...overrides,
   };
 }
