Send no requests to a server that has said that it leaves

Its header only reached the callers.

The head of every response, of whatever kind of request, now goes to ServerStatements, a table of handlers for what servers say of themselves.

--- /dev/null
+++ b/src/common/serving/ServerStatements.ts
@@ -0,0 +1,90 @@
+import type { Clock } from '../time/Types.js';
+import { ServerDepartures, type DepartureBounds } from './ServerDepartures.js';
+import { ServerLimits } from './ServerLimits.js';
+import type { BackendServer } from './ServingConfiguration.js';
+
+/** What a server says of itself in a response. */
+export interface ServerStatement {
+  /** Requests per second that it takes from all processes together; undefined if unlimited. */
+  readonly requestsPerS: number | undefined;
+  /** Whether it leaves. */
+  readonly isLeaving: boolean;
+}
+
+type StatementHandlers = {
+  readonly [Key in keyof ServerStatement]: (
+    server: BackendServer,
+    value: ServerStatement[Key],
+  ) => void;
+};
+
+/** Dependencies of {@link ServerStatements}. */
+export interface ServerStatementsServices {
+  readonly clock: Clock;
+  readonly departureBounds: DepartureBounds;
+  /** @returns this process's share of a server's limit, 0 to 1 */
+  readonly limitShareOf: (server: BackendServer, requestsPerS: number) => number;
+}
+
+/**
+ * What servers say of themselves in their responses: limits and departures. A process learns
+ * it before the store does and also while the store is silent.
+ */
+export class ServerStatements {
+  readonly limits: ServerLimits;
+
+  readonly departures: ServerDepartures;
+
+  private readonly handlers: StatementHandlers = {
+    requestsPerS: (server, requestsPerS) => this.limits.recordResponse(server.id, requestsPerS),
+    isLeaving: (server, isLeaving) => isLeaving && this.departures.recordResponse(server),
+  };
+
+  constructor({ clock, departureBounds, limitShareOf }: ServerStatementsServices) {
+    this.limits = new ServerLimits(clock, limitShareOf);
+    this.departures = new ServerDepartures(clock, departureBounds);
+  }
+
+  /** Records what a server says in a response. */
+  recordResponse(server: BackendServer, statement: ServerStatement): void {
+    this.handlers.requestsPerS(server, statement.requestsPerS);
+    this.handlers.isLeaving(server, statement.isLeaving);
+  }
+
+  /** Records that a request is sent to a server. */
+  recordRequest(server: BackendServer): void {
+    this.limits.recordRequest(server);
+  }
+
+  /**
+   * @param server - server that requests could be sent to
+   * @param planned - number of requests that are about to be sent to it
+   * @returns whether this process may send it another request now
+   */
+  mayRequest(server: BackendServer, planned = 0): boolean {
+    return this.limits.mayRequest(server, planned) && this.isServing(server);
+  }
+
+  /** @returns whether the server stays, or takes requests as long as there is no other one */
+  isServing(server: BackendServer): boolean {
+    return !this.departures.has(server) || this.departures.isInGrace(server);
+  }
+
+  /**
+   * @param server - server that requests could be sent to
+   * @returns time until some process may send it a request, in ms
+   */
+  waitMs(server: BackendServer): number {
+    return this.limits.waitMs(server);
+  }
+
+  /** @returns requests per second that the server takes; undefined for any number */
+  requestsPerS(serverId: string): number | undefined {
+    return this.limits.requestsPerS(serverId);
+  }
+
+  /** Discards what belongs to a server that was removed or has restarted. */
+  forget(server: BackendServer): void {
+    this.limits.forget(server.id);
+  }
+}
--- a/src/common/serving/StageQueue.test.ts
+++ b/src/common/serving/StageQueue.test.ts
@@ -1,11 +1,10 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 import fc from 'fast-check';
-import { ServerLimits } from './ServerLimits.js';
 import { StageQueue } from './StageQueue.js';
 import type { CallOutcome, EndedTask, PlannedCall } from './Types.js';
 import { ManualClock } from './testing/ManualClock.js';
-import { createCapacity, createServer, createTask } from './testing/fixtures.js';
+import { createCapacity, createServer, createStatements, createTask } from './testing/fixtures.js';
 import { generateArrivals, meanOf, replayStage } from './testing/StageReplay.js';
 
 const SEEDS = [1, 2, 3, 4, 5];
@@ -13,10 +12,10 @@
 function createQueue(options: { servers?: number; mayRetry?: boolean; batchSize?: number } = {}) {
   const clock = new ManualClock();
   const { servers = 1, mayRetry = true, batchSize = 12 } = options;
-  const limits = new ServerLimits(clock, () => 1);
-  const queue = new StageQueue(clock, createCapacity({ batchSize }), () => mayRetry, limits);
+  const statements = createStatements(clock);
+  const queue = new StageQueue(clock, createCapacity({ batchSize }), () => mayRetry, statements);
   queue.updateServers(Array.from({ length: servers }, (_, index) => createServer(`s${index + 1}`)));
-  return { clock, queue, limits };
+  return { clock, queue, statements };
 }
 
 function answer(call: PlannedCall): CallOutcome {
@@ -50,10 +49,10 @@
   });
 
   it('plans no call for a server at its limit, and expects a longer backlog because of it', () => {
-    const { clock, queue, limits } = createQueue({ servers: 2, batchSize: 1 });
+    const { clock, queue, statements } = createQueue({ servers: 2, batchSize: 1 });
     for (let index = 0; index < 10; index += 1) queue.add(createTask());
     const backlogMs = queue.backlogMs;
-    limits.recordResponse('s1', 0.5);
+    statements.limits.recordResponse('s1', 0.5);
     assert.ok(queue.backlogMs > 1.5 * backlogMs);
     assert.deepEqual(
       queue.plan().map(({ server }) => server.id),
--- a/src/common/serving/testing/StageReplay.ts
+++ b/src/common/serving/testing/StageReplay.ts
@@ -2,7 +2,7 @@
 import { SeededRandom } from '../../time/SeededRandom.js';
 import type { BackendServer, StageCapacity } from '../ServingConfiguration.js';
 import { ManualClock } from './ManualClock.js';
-import { ServerLimits } from '../ServerLimits.js';
+import { createStatements } from './fixtures.js';
 import { StageQueue } from '../StageQueue.js';
 import type { EndedTask, PlannedCall, StageTask } from '../Types.js';
 
@@ -101,12 +101,7 @@
     private readonly servers: readonly BackendServer[],
     private readonly pieceMs: (task: StageTask) => number,
   ) {
-    this.queue = new StageQueue(
-      this.clock,
-      capacity,
-      () => true,
-      new ServerLimits(this.clock, () => 1),
-    );
+    this.queue = new StageQueue(this.clock, capacity, () => true, createStatements(this.clock));
     this.queue.updateServers(servers);
   }
 
--- a/src/common/serving/testing/fixtures.ts
+++ b/src/common/serving/testing/fixtures.ts
@@ -6,6 +6,7 @@
   StageCapacity,
 } from '../ServingConfiguration.js';
 import { ServerDepartures } from '../ServerDepartures.js';
+import { ServerStatements } from '../ServerStatements.js';
 import type { Clock } from '../../time/Types.js';
 import type { StageTask } from '../Types.js';
 
@@ -91,7 +92,18 @@
   };
 }
 
+const DEPARTURE_BOUNDS = { graceMs: 1500, registrationLifetimeMs: 5000 };
+
 /** @returns no departures yet, with the bounds of a small deployment */
 export function createDepartures(clock: Clock): ServerDepartures {
-  return new ServerDepartures(clock, { graceMs: 1500, registrationLifetimeMs: 5000 });
+  return new ServerDepartures(clock, DEPARTURE_BOUNDS);
+}
+
+/** @returns what servers say of themselves: nothing yet, with the whole limits for this process */
+export function createStatements(clock: Clock): ServerStatements {
+  return new ServerStatements({
+    clock,
+    departureBounds: DEPARTURE_BOUNDS,
+    limitShareOf: () => 1,
+  });
 }
--- a/src/serving/RequestRunner.ts
+++ b/src/serving/RequestRunner.ts
@@ -1,3 +1,4 @@
+import { once } from '../common/Once.js';
 import { Cancellation } from '../common/events/Cancellation.js';
 import type { EnginePlacement } from '../common/serving/EnginePlacement.js';
 import type { ServerRecords } from '../common/serving/ServerRecords.js';
@@ -28,6 +29,12 @@
 /** Retry-After if no server was usable, in ms: servers become available again in about a second. */
 const NO_SERVER_RETRY_MS = 500;
 
+/** Refusal of requests for a service without servers, or whose servers all leave. */
+const NO_SERVER: Refusal = { reason: 'no usable server', retryAfterMs: NO_SERVER_RETRY_MS };
+
+/** Longest time by which the returns of callers that wait for a server are spread, in ms. */
+const MAX_RETRY_SPREAD_MS = 1000;
+
 /** Retry-After if servers at capacity refused the request, in ms. */
 const FULL_RETRY_MS = 200;
 
@@ -132,8 +139,10 @@
     if (neededMs > remainingMs) {
       return { reason: 'stages are overloaded', retryAfterMs: neededMs - remainingMs };
     }
-    const limitWaitMs = selection.limitWaitMs(service) ?? 0;
-    return limitWaitMs > stagesMs ? this.limitRefusal(limitWaitMs) : undefined;
+    const services = [service, ...neededStages.map((stage) => stage.service)];
+    if (services.some((name) => selection.waitMs(name) === undefined)) return NO_SERVER;
+    const waitMs = selection.waitMs(service) ?? 0;
+    return waitMs > stagesMs ? this.waitRefusal(waitMs) : undefined;
   }
 
   private async runStages(
@@ -219,17 +228,16 @@
 
   /** @returns why no server of the service can be chosen now */
   private selectionRefusal(service: string, progress: ForwardProgress): Refusal {
-    const limitWaitMs = this.services.selection.limitWaitMs(service) ?? 0;
-    if (limitWaitMs === 0) {
-      return { reason: 'no usable server', retryAfterMs: retryAfterMsOf(progress) };
-    }
-    return this.limitRefusal(limitWaitMs);
+    const waitMs = this.services.selection.waitMs(service) ?? 0;
+    if (waitMs === 0) return { ...NO_SERVER, retryAfterMs: retryAfterMsOf(progress) };
+    return this.waitRefusal(waitMs);
   }
 
-  private limitRefusal(limitWaitMs: number): Refusal {
+  private waitRefusal(waitMs: number): Refusal {
     this.services.metrics.recordRefusal('limited-servers');
     // Callers that are refused at the same time should not all return at the same time.
-    const retryAfterMs = FULL_RETRY_MS + limitWaitMs * (1 + this.services.random());
+    const spreadMs = Math.min(waitMs, MAX_RETRY_SPREAD_MS) * this.services.random();
+    const retryAfterMs = FULL_RETRY_MS + waitMs + spreadMs;
     return { reason: 'all servers are at their limits', retryAfterMs };
   }
 
@@ -386,12 +394,3 @@
 function retryAfterMsOf({ sends }: ForwardProgress): number {
   return sends > 0 ? FULL_RETRY_MS : NO_SERVER_RETRY_MS;
 }
-
-function once(action: () => void): () => void {
-  let isDone = false;
-  return () => {
-    if (isDone) return;
-    isDone = true;
-    action();
-  };
-}
--- a/src/serving/ServerSelection.ts
+++ b/src/serving/ServerSelection.ts
@@ -2,7 +2,7 @@
 import type { RouteTable } from '../common/serving/RouteTable.js';
 import type { ServerDirectory } from '../common/serving/ServerDirectory.js';
 import { choosePlainServer, type ServerRecords } from '../common/serving/ServerRecords.js';
-import type { ServerLimits } from '../common/serving/ServerLimits.js';
+import type { ServerStatements } from '../common/serving/ServerStatements.js';
 import type { BackendServer } from '../common/serving/ServingConfiguration.js';
 import type { CallerRequest } from './CallerRequest.js';
 import type { ServingProtocol } from './Types.js';
@@ -14,7 +14,7 @@
   readonly failureDomain: string;
   readonly directory: ServerDirectory;
   readonly records: ServerRecords;
-  readonly limits: ServerLimits;
+  readonly statements: ServerStatements;
   readonly placement: EnginePlacement;
   readonly peerView: PeerView;
   readonly routeTable: () => RouteTable | undefined;
@@ -44,9 +44,9 @@
     triedServerIds: ReadonlySet<string>,
     results: readonly StoredResult[],
   ): BackendServer | undefined {
-    const { directory, records, limits, placement, failureDomain, random, protocol, peerView } =
-      this.services;
-    const usable = directory.usable(service).filter((server) => limits.mayRequest(server));
+    const { directory, records, statements, placement, protocol, peerView } = this.services;
+    const { failureDomain, random } = this.services;
+    const usable = directory.usable(service).filter((server) => statements.mayRequest(server));
     const untried = usable.filter(({ id }) => !triedServerIds.has(id));
     const candidates = records.healthy(untried.length > 0 ? untried : usable);
     const isEngine = this.services.routeTable()?.service(service)?.engine !== undefined;
@@ -63,12 +63,12 @@
 
   /**
    * @param service - service of backend servers
-   * @returns time until one of its servers may get a request within its limit, in ms; undefined if
-   *   the service has no server
+   * @returns time until one of its servers may get a request within its limit and after its pause,
+   *   in ms; undefined if the service has no server
    */
-  limitWaitMs(service: string): number | undefined {
-    const { directory, limits } = this.services;
-    const waits = directory.usable(service).map((server) => limits.waitMs(server));
+  waitMs(service: string): number | undefined {
+    const { directory, statements } = this.services;
+    const waits = directory.usable(service).map((server) => statements.waitMs(server));
     return waits.length > 0 ? Math.min(...waits) : undefined;
   }
 }
--- a/src/serving/ServingProcess.ts
+++ b/src/serving/ServingProcess.ts
@@ -93,13 +93,15 @@
     const { clock, logger, settings, protocol, metrics } = options;
     this.incarnation = clock.wallTime();
     this.peerClients = new PeerClients(logger);
-    this.observations = new ServerObservations(
+    this.observations = new ServerObservations({
       clock,
       logger,
-      departureBoundsOf(settings.servers),
-      (server, requestsPerS) => this.limitShareOf(server, requestsPerS),
-    );
-    const { limits, crashingParts, departures } = this.observations;
+      protocol,
+      departureBounds: departureBoundsOf(settings.servers),
+      limitShareOf: (server, requestsPerS) => this.limitShareOf(server, requestsPerS),
+    });
+    const { statements, crashingParts } = this.observations;
+    const { departures } = statements;
     this.directory = new ServerDirectory(clock, departures);
     departures.onChanged(() => this.batcher.updateServers());
     departures.onEnded(() => this.batcher.updateServers());
@@ -118,11 +120,7 @@
       processCount,
       responses: settings.responseLimits,
       memory: new ResponseMemory(settings.responseLimits.totalBytes),
-      traffic: {
-        onRequest: (server) => limits.recordRequest(server),
-        onResponse: (server, headers) =>
-          limits.recordResponse(server.id, protocol.parseResponse(headers).requestsPerS),
-      },
+      traffic: this.observations,
     });
     const { connections } = this;
     const commonServices = {
@@ -133,7 +131,7 @@
       directory: this.directory,
       routeTable,
     };
-    this.batcher = new StageBatcher({ ...commonServices, retryBudgets, limits });
+    this.batcher = new StageBatcher({ ...commonServices, retryBudgets, statements });
     const stageClient = new StageClient({
       ownId: settings.id,
       clock,
@@ -165,7 +163,7 @@
     this.directory.onRemoved((server) => {
       logger.info('backend server gone', { server: server.id, service: server.service });
       connections.disconnect(server);
-      this.observations.forget(server.id);
+      this.observations.forget(server);
     });
     this.directory.onChanged((server) => {
       const { id, service, isDraining, address } = server;
@@ -270,7 +268,7 @@
     });
     this.delayedChangeTimer = setInterval(() => {
       this.configuration.applySettled();
-      this.observations.departures.check();
+      this.observations.statements.departures.check();
       this.expireRemovals();
     }, DELAYED_CHANGE_INTERVAL_MS);
     this.membership
--- a/src/serving/StageBatcher.ts
+++ b/src/serving/StageBatcher.ts
@@ -2,12 +2,12 @@
 import type { Cancellation } from '../common/events/Cancellation.js';
 import type { Clock } from '../common/time/Types.js';
 import type { ServerDirectory } from '../common/serving/ServerDirectory.js';
-import type { ServerLimits } from '../common/serving/ServerLimits.js';
+import type { ServerStatements } from '../common/serving/ServerStatements.js';
+import { countOutcomes } from '../common/serving/PieceOutcomes.js';
 import { StageQueue } from '../common/serving/StageQueue.js';
 import type {
   CallOutcome,
   EndedTask,
-  PieceOutcome,
   PlannedCall,
   StageTask,
   TaskOutcome,
@@ -25,7 +25,7 @@
 
 /** Time for which released handles are collected, in ms, so that one call releases many results. */
 const RELEASE_DELAY_MS = 12;
-/** Interval of the calls that release results at a server that is at its limit, in ms. */
+/** Interval of the calls that release results at a server that takes none now, in ms. */
 const LIMITED_RELEASE_DELAY_MS = 1000;
 
 /** Maximum number of handles that wait to be released at one server; servers drop the others. */
@@ -84,8 +84,8 @@
   readonly routeTable: () => RouteTable | undefined;
   /** Limits retries of pieces to a share of the requests for their service. */
   readonly retryBudgets: RetryBudgets;
-  /** Limits that the servers name. */
-  readonly limits: ServerLimits;
+  /** What the servers say of themselves. */
+  readonly statements: ServerStatements;
 }
 
 /**
@@ -249,9 +249,9 @@
     if (known) return known;
     const capacity = this.services.routeTable()?.service(service)?.stage;
     if (!capacity) return undefined;
-    const { clock, retryBudgets, limits } = this.services;
+    const { clock, retryBudgets, statements } = this.services;
     const mayRetry = () => retryBudgets.of(service).trySpend();
-    const queue = new StageQueue(clock, capacity, mayRetry, limits);
+    const queue = new StageQueue(clock, capacity, mayRetry, statements);
     queue.updateServers(this.services.directory.usable(service));
     this.queues.set(service, queue);
     return queue;
@@ -356,15 +356,19 @@
   private sendReleases(address: string): void {
     const handles = this.pendingReleases.get(address) ?? [];
     this.pendingReleases.delete(address);
-    const { directory, protocol, connections, logger, limits } = this.services;
+    const { directory, protocol, connections, logger, statements } = this.services;
     const server = directory.findByAddress(address);
-    // A draining server receives no more calls, and its results are dropped when it exits.
-    if (!server || server.isDraining) return;
-    if (!limits.mayRequest(server)) {
+    // A server that leaves receives no more calls, and its results are dropped when it exits.
+    if (!server || server.isDraining || !statements.isServing(server)) return;
+    if (!statements.mayRequest(server)) {
       const kept = handles.slice(-MAX_PENDING_RELEASES);
       if (kept.length < handles.length) {
         const dropped = handles.length - kept.length;
-        logger.warn('results not released', { server: server.id, cause: 'limit', dropped });
+        logger.warn('results not released', {
+          server: server.id,
+          cause: 'limit',
+          dropped,
+        });
       }
       this.pendingReleases.set(address, kept);
       setTimeout(() => this.sendReleases(address), LIMITED_RELEASE_DELAY_MS);
@@ -388,12 +392,3 @@
 function listenerKey(service: string, taskId: number): string {
   return `${service}/${taskId}`;
 }
-
-/** @returns number of pieces by outcome */
-function countOutcomes(pieces: readonly PieceOutcome[]): Record<string, number> {
-  const counts: Record<string, number> = {};
-  pieces.forEach(({ kind }) => {
-    counts[kind] = (counts[kind] ?? 0) + 1;
-  });
-  return counts;
-}
--- a/src/serving/Types.ts
+++ b/src/serving/Types.ts
@@ -52,6 +52,8 @@
   readonly isFramed: boolean;
   /** Requests per second that the server takes from all processes together; absent if unlimited. */
   readonly requestsPerS?: number;
+  /** Whether the server says that it leaves. */
+  readonly isLeaving: boolean;
 }
 
 /** A call that the system itself makes to a backend server. */
--- a/src/serving/createRequestRunner.ts
+++ b/src/serving/createRequestRunner.ts
@@ -27,14 +27,14 @@
  */
 export function createRequestRunner(parts: RequestRunnerParts): RequestRunner {
   const { clock, metrics, observations, directory, stageClient, routeTable } = parts;
-  const { records, limits, crashingParts } = observations;
+  const { records, statements, crashingParts } = observations;
   const placement = new EnginePlacement(clock, records);
   directory.onRemoved(({ id }) => placement.forget(id));
   return new RequestRunner({
     ...parts,
     records,
     placement,
-    selection: new ServerSelection({ ...parts, records, limits, placement }),
+    selection: new ServerSelection({ ...parts, records, statements, placement }),
     stageRunner: new StageRunner({ clock, stageClient, metrics, routeTable }),
     promptGuard: new PromptGuard(clock, crashingParts, metrics),
   });
