Leave a server alone for the time that it asks for when it turns a request away

A server that answered 503 with Retry-After went on getting requests: three from one process within a pause of 6 s beside another server, all of them if the other servers pause too, and all that waited at the moment at which it ended.

ServerPauses is the third statement of servers: between one server and one process, so peers are not told, and kept for the incarnation. Choice, stage calls and releases pass the server over until the end; then each process returns within half a second, and in the first second ten requests apart. If all servers pause, requests are refused at once with the time of the return, also before their stages.

--- a/src/common/serving/ServerStatements.ts
+++ b/src/common/serving/ServerStatements.ts
@@ -1,6 +1,7 @@
 import type { Clock } from '../time/Types.js';
 import { ServerDepartures, type DepartureBounds } from './ServerDepartures.js';
 import { ServerLimits } from './ServerLimits.js';
+import { ServerPauses } from './ServerPauses.js';
 import type { BackendServer } from './ServingConfiguration.js';
 
 /** What a server says of itself in a response. */
@@ -9,6 +10,8 @@
   readonly requestsPerS: number | undefined;
   /** Whether it leaves. */
   readonly isLeaving: boolean;
+  /** Time for which it wants no requests from this process, in ms; undefined for none. */
+  readonly pauseMs: number | undefined;
 }
 
 type StatementHandlers = {
@@ -21,13 +24,14 @@
 /** Dependencies of {@link ServerStatements}. */
 export interface ServerStatementsServices {
   readonly clock: Clock;
+  readonly random: () => number;
   readonly departureBounds: DepartureBounds;
   /** @returns this process's share of a server's limit, 0 to 1 */
   readonly limitShareOf: (server: BackendServer, requestsPerS: number) => number;
 }
 
 /**
- * What servers say of themselves in their responses: limits and departures. A process learns
+ * What servers say of themselves in their responses: limits, departures and pauses. A process learns
  * it before the store does and also while the store is silent.
  */
 export class ServerStatements {
@@ -35,25 +39,31 @@
 
   readonly departures: ServerDepartures;
 
+  readonly pauses: ServerPauses;
+
   private readonly handlers: StatementHandlers = {
     requestsPerS: (server, requestsPerS) => this.limits.recordResponse(server.id, requestsPerS),
     isLeaving: (server, isLeaving) => isLeaving && this.departures.recordResponse(server),
+    pauseMs: (server, pauseMs) => pauseMs !== undefined && this.pauses.record(server, pauseMs),
   };
 
-  constructor({ clock, departureBounds, limitShareOf }: ServerStatementsServices) {
+  constructor({ clock, random, departureBounds, limitShareOf }: ServerStatementsServices) {
     this.limits = new ServerLimits(clock, limitShareOf);
     this.departures = new ServerDepartures(clock, departureBounds);
+    this.pauses = new ServerPauses(clock, random);
   }
 
   /** Records what a server says in a response. */
   recordResponse(server: BackendServer, statement: ServerStatement): void {
     this.handlers.requestsPerS(server, statement.requestsPerS);
     this.handlers.isLeaving(server, statement.isLeaving);
+    this.handlers.pauseMs(server, statement.pauseMs);
   }
 
   /** Records that a request is sent to a server. */
   recordRequest(server: BackendServer): void {
     this.limits.recordRequest(server);
+    this.pauses.recordRequest(server);
   }
 
   /**
@@ -62,7 +72,11 @@
    * @returns whether this process may send it another request now
    */
   mayRequest(server: BackendServer, planned = 0): boolean {
-    return this.limits.mayRequest(server, planned) && this.isServing(server);
+    return (
+      this.limits.mayRequest(server, planned) &&
+      this.pauses.waitMs(server, planned) <= 0 &&
+      this.isServing(server)
+    );
   }
 
   /** @returns whether the server stays, or takes requests as long as there is no other one */
@@ -75,7 +89,12 @@
    * @returns time until some process may send it a request, in ms
    */
   waitMs(server: BackendServer): number {
-    return this.limits.waitMs(server);
+    return Math.max(this.limits.waitMs(server), this.pauses.waitMs(server));
+  }
+
+  /** @returns time until the pause of the server ends for this process, in ms; 0 for none */
+  pauseMs(server: BackendServer): number {
+    return this.pauses.waitMs(server);
   }
 
   /** @returns requests per second that the server takes; undefined for any number */
@@ -86,5 +105,6 @@
   /** Discards what belongs to a server that was removed or has restarted. */
   forget(server: BackendServer): void {
     this.limits.forget(server.id);
+    this.pauses.forget(server);
   }
 }
--- a/src/common/serving/StageQueue.ts
+++ b/src/common/serving/StageQueue.ts
@@ -2,8 +2,8 @@
 import { selectCall } from './CallSelection.js';
 import { CallPacer } from './CallPacer.js';
 import { PieceTimeEstimator } from './PieceTimeEstimator.js';
-import type { ServerLimits } from './ServerLimits.js';
-import { StageServerState } from './StageServerState.js';
+import type { ServerStatements } from './ServerStatements.js';
+import { freeTimesByDomain, StageServerState } from './StageServerState.js';
 import type { BackendServer, StageCapacity } from './ServingConfiguration.js';
 import type {
   CallOutcome,
@@ -22,8 +22,8 @@
 /** Returns whether the given number of pieces may be sent again. */
 export type RetryPermission = (pieces: number) => boolean;
 
-/** Limits on the calls to each server. */
-export type CallLimits = Pick<ServerLimits, 'mayRequest' | 'requestsPerS'>;
+/** Limits on the calls to each server, and its pauses. */
+export type CallLimits = Pick<ServerStatements, 'mayRequest' | 'requestsPerS' | 'pauseMs'>;
 
 const MS_PER_SECOND = 1000;
 
@@ -141,9 +141,9 @@
 
   /** Estimated time until all waiting pieces have been sent, in ms. */
   get backlogMs(): number {
-    const healthy = [...this.servers.values()].filter((state) => state.isHealthy(this.clock.now()));
-    if (healthy.length === 0) return this.capacity.callMs;
-    const { batchSize } = this.capacity;
+    const healthy = this.healthyServers();
+    const { batchSize, callMs } = this.capacity;
+    if (healthy.length === 0) return Math.max(callMs, this.pauseMs);
     const batches = this.waitingPieceCount / (batchSize * this.effectiveCount(healthy));
     return batches * this.callMs(batchSize);
   }
@@ -156,12 +156,13 @@
   removeExpired(): EndedTask[] {
     if (this.waitingPieces === 0) return [];
     const now = this.clock.now();
-    const healthy = [...this.servers.values()].filter((state) => state.isHealthy(now));
+    const healthy = this.healthyServers();
     const servers = healthy.length > 0 ? this.effectiveCount(healthy) : 1;
     const piecesPerMs = (servers * this.capacity.batchSize) / this.callMs(this.capacity.batchSize);
+    const pauseMs = healthy.length > 0 ? 0 : this.pauseMs;
     let piecesAhead = 0;
     const expired = this.byUrgency(now).filter(({ task, unassignedPieces }) => {
-      const startsInMs = piecesAhead / piecesPerMs;
+      const startsInMs = pauseMs + piecesAhead / piecesPerMs;
       const isExpired = now + startsInMs + this.capacity.callMs > task.expiresAt;
       if (!isExpired) piecesAhead += unassignedPieces.size;
       return isExpired;
@@ -176,7 +177,7 @@
   plan(): PlannedCall[] {
     if (!this.canStartCall) return [];
     const now = this.clock.now();
-    const healthy = [...this.servers.values()].filter((state) => state.isHealthy(now));
+    const healthy = this.healthyServers();
     const planned: PlannedCall[] = [];
     let queuedTasks = this.byUrgency(now);
     while (queuedTasks.length > 0) {
@@ -248,17 +249,30 @@
     this.servers.get(serverId)?.release(handles);
   }
 
+  /** @returns servers that have neither failed recently nor pause */
+  private healthyServers(): StageServerState[] {
+    return [...this.servers.values()].filter(
+      (state) => state.isHealthy(this.clock.now()) && this.limits.pauseMs(state.server) === 0,
+    );
+  }
+
+  /** Time until the first pause of a server ends, in ms; 0 if there are no servers. */
+  private get pauseMs(): number {
+    if (this.servers.size === 0) return 0;
+    return Math.min(...[...this.servers.values()].map(({ server }) => this.limits.pauseMs(server)));
+  }
+
   /** @returns servers that may get a call besides the planned ones */
   private freeServers(
     servers: readonly StageServerState[],
     planned: readonly PlannedCall[],
   ): StageServerState[] {
     const now = this.clock.now();
-    const { concurrentCalls } = this.capacity;
     return servers.filter((state) => {
       const plannedHere = planned.filter(({ server }) => server.id === state.server.id).length;
       return (
-        state.isFree(now, concurrentCalls) && this.limits.mayRequest(state.server, plannedHere)
+        state.isFree(now, this.capacity.concurrentCalls) &&
+        this.limits.mayRequest(state.server, plannedHere)
       );
     });
   }
@@ -384,16 +398,3 @@
     this.waitingPieces -= unassignedPieces.size;
   }
 }
-
-/** @returns expected time at which a server is free, on the clock, by failure domain */
-function freeTimesByDomain(
-  servers: readonly StageServerState[],
-  now: number,
-): ReadonlyMap<string, number> {
-  const times = new Map<string, number>();
-  servers.forEach((state) => {
-    const { failureDomain } = state.server;
-    times.set(failureDomain, Math.min(times.get(failureDomain) ?? Infinity, state.freeAt(now)));
-  });
-  return times;
-}
--- a/src/common/serving/StageServerState.ts
+++ b/src/common/serving/StageServerState.ts
@@ -148,3 +148,16 @@
       1 + (this.slownessEstimate - 1) * 0.5 ** (elapsed / SLOWNESS_HALF_LIFE_MS);
   }
 }
+
+/** @returns expected time at which a server is free, on the clock, by failure domain */
+export function freeTimesByDomain(
+  servers: readonly StageServerState[],
+  now: number,
+): ReadonlyMap<string, number> {
+  const times = new Map<string, number>();
+  servers.forEach((state) => {
+    const { failureDomain } = state.server;
+    times.set(failureDomain, Math.min(times.get(failureDomain) ?? Infinity, state.freeAt(now)));
+  });
+  return times;
+}
--- a/src/common/serving/testing/fixtures.ts
+++ b/src/common/serving/testing/fixtures.ts
@@ -103,6 +103,7 @@
 export function createStatements(clock: Clock): ServerStatements {
   return new ServerStatements({
     clock,
+    random: () => 0,
     departureBounds: DEPARTURE_BOUNDS,
     limitShareOf: () => 1,
   });
--- a/src/serving/RequestRunner.ts
+++ b/src/serving/RequestRunner.ts
@@ -238,7 +238,7 @@
     // Callers that are refused at the same time should not all return at the same time.
     const spreadMs = Math.min(waitMs, MAX_RETRY_SPREAD_MS) * this.services.random();
     const retryAfterMs = FULL_RETRY_MS + waitMs + spreadMs;
-    return { reason: 'all servers are at their limits', retryAfterMs };
+    return { reason: 'all servers are at their limits or pause', retryAfterMs };
   }
 
   private chooseService({ route, id }: CallerRequest): string {
--- a/src/serving/ServerConnectionPool.ts
+++ b/src/serving/ServerConnectionPool.ts
@@ -78,9 +78,11 @@
   onRequest(server: BackendServer): void;
   /**
    * Called with the head of each final response.
+   * @param server - server that sent it
+   * @param status - HTTP status
    * @param headers - names and values alternating
    */
-  onResponse(server: BackendServer, headers: readonly string[]): void;
+  onResponse(server: BackendServer, status: number, headers: readonly string[]): void;
 }
 
 /** Limits and observers that all pools of a process share. */
@@ -240,7 +242,7 @@
             return;
           }
           const headers = decodeHeaders(current.rawHeaders);
-          traffic?.onResponse(this.server, headers);
+          traffic?.onResponse(this.server, status, headers);
           listener.onHead(status, headers);
         },
         onResponseData: (_current, chunk) => {
--- a/src/serving/ServerObservations.ts
+++ b/src/serving/ServerObservations.ts
@@ -10,6 +10,9 @@
 import type { RawHeaders, ServingProtocol } from './Types.js';
 import type { Heartbeat } from './peers/PeerMessages.js';
 
+/** Status with which a server turns a request away. */
+const STATUS_UNAVAILABLE = 503;
+
 /** Dependencies of {@link ServerObservations}. */
 export interface ServerObservationsServices extends ServerStatementsServices {
   readonly logger: Logger;
@@ -26,16 +29,20 @@
 
   private readonly protocol: ServingProtocol;
 
+  private readonly logger: Logger;
+
   constructor({ logger, protocol, ...services }: ServerObservationsServices) {
     const { clock } = services;
+    this.logger = logger;
     this.protocol = protocol;
     this.records = new ServerRecords(clock);
     this.statements = new ServerStatements(services);
     this.crashingParts = new CrashingParts(clock);
-    const { limits, departures } = this.statements;
+    const { limits, departures, pauses } = this.statements;
     limits.onChanged((change) => logger.info('server limit changed', { ...change }));
     departures.onChanged((departure) => logger.info('server leaves', { ...departure }));
     departures.onEnded((server) => logger.info('departure or grace time ended', { server }));
+    pauses.onChanged((pause) => logger.info('server pauses', { ...pause }));
   }
 
   /** Records that a request is sent to a server. */
@@ -44,9 +51,15 @@
   }
 
   /** Records what a server says of itself in a response, of whatever kind of request. */
-  onResponse(server: BackendServer, headers: RawHeaders): void {
-    const { requestsPerS, isLeaving } = this.protocol.parseResponse(headers);
-    this.statements.recordResponse(server, { requestsPerS, isLeaving });
+  onResponse(server: BackendServer, status: number, headers: RawHeaders): void {
+    const { requestsPerS, isLeaving, retryAfterMs, isRetryAfterInvalid } =
+      this.protocol.parseResponse(headers);
+    const isTurnedAway = status === STATUS_UNAVAILABLE;
+    const pauseMs = isTurnedAway ? retryAfterMs : undefined;
+    this.statements.recordResponse(server, { requestsPerS, isLeaving, pauseMs });
+    if (isTurnedAway && isRetryAfterInvalid) {
+      this.logger.warn('unreadable Retry-After of a server ignored', { server: server.id });
+    }
   }
 
   /** The part of a heartbeat that peers {@link merge}. */
--- a/src/serving/ServingProcess.ts
+++ b/src/serving/ServingProcess.ts
@@ -97,6 +97,7 @@
       clock,
       logger,
       protocol,
+      random: options.random,
       departureBounds: departureBoundsOf(settings.servers),
       limitShareOf: (server, requestsPerS) => this.limitShareOf(server, requestsPerS),
     });
--- a/src/serving/StageBatcher.ts
+++ b/src/serving/StageBatcher.ts
@@ -366,7 +366,7 @@
         const dropped = handles.length - kept.length;
         logger.warn('results not released', {
           server: server.id,
-          cause: 'limit',
+          cause: 'limit or pause',
           dropped,
         });
       }
--- a/src/serving/Types.ts
+++ b/src/serving/Types.ts
@@ -54,6 +54,10 @@
   readonly requestsPerS?: number;
   /** Whether the server says that it leaves. */
   readonly isLeaving: boolean;
+  /** Time after which the response asks to come back, in ms. */
+  readonly retryAfterMs?: number;
+  /** Whether the response names such a time that cannot be read. */
+  readonly isRetryAfterInvalid?: boolean;
 }
 
 /** A call that the system itself makes to a backend server. */
