Believe a refusal only if it belongs to the request

A faulty server that writes an earlier refusal once more made callers read 'not run' for a request that it was running, and the request was sent to a second server: the header that a request was not run counted before the id of the response was compared. Requests that must not run twice use new connections, so this takes a server that repeats a refusal there; 'not run, try again' was then wrong. A refusal with another id now counts as a lost response.

FaultyResponses: two tests failed before (503 instead of 502) and pass.

--- a/src/serving/BufferedForwarder.ts
+++ b/src/serving/BufferedForwarder.ts
@@ -4,6 +4,7 @@
 import { isRetryable, type CallerRequest } from './CallerRequest.js';
 import type { BackendConnections } from './BackendConnections.js';
 import {
+  isRefusal,
   isServerError,
   isSuccess,
   type ForwardOptions,
@@ -59,8 +60,9 @@
   }
   const { status, headers, body } = response;
   const attributes = protocol.parseResponse(headers);
-  if (attributes.isNotExecuted) return { kind: 'not-executed', status };
-  const matchesAttempt = attributes.attemptId === request.attributes.attemptId;
+  const { attemptId } = request.attributes;
+  if (isRefusal(attributes, attemptId)) return { kind: 'not-executed', status };
+  const matchesAttempt = attributes.attemptId === attemptId;
   if (
     !matchesAttempt ||
     attributes.hasContentCoding ||
--- a/src/serving/ForwardOutcome.ts
+++ b/src/serving/ForwardOutcome.ts
@@ -1,3 +1,5 @@
+import type { ResponseAttributes } from './Types.js';
+
 /** How forwarding a request to one backend server ended. */
 export type ForwardOutcome =
   /** The caller received its final response, or its connection was closed. */
@@ -51,3 +53,15 @@
 export function isSuccess(status: number): boolean {
   return status >= 200 && status < 300;
 }
+
+/**
+ * @param response - attributes of the response
+ * @param attemptId - id of the request; undefined if it has none
+ * @returns whether the server reports that it did not run this request. A faulty server may repeat an
+ *   earlier refusal, which carries another id
+ */
+export function isRefusal(response: ResponseAttributes, attemptId: string | undefined): boolean {
+  return (
+    response.isNotExecuted && (response.attemptId === undefined || response.attemptId === attemptId)
+  );
+}
--- a/src/serving/StreamForwarder.ts
+++ b/src/serving/StreamForwarder.ts
@@ -4,6 +4,7 @@
 import type { BackendServer } from '../common/serving/ServingConfiguration.js';
 import { isRetryable, type CallerRequest } from './CallerRequest.js';
 import {
+  isRefusal,
   isServerError,
   isSuccess,
   type ForwardOptions,
@@ -176,9 +177,10 @@
   }
 
   private failureOutcome(): ForwardOutcome {
-    const { status, headers } = this;
-    if (this.attributes?.isNotExecuted) return { kind: 'not-executed', status };
-    const matchesAttempt = this.attributes?.attemptId === this.request.attributes.attemptId;
+    const { status, headers, attributes } = this;
+    const { attemptId } = this.request.attributes;
+    if (attributes && isRefusal(attributes, attemptId)) return { kind: 'not-executed', status };
+    const matchesAttempt = attributes?.attemptId === attemptId;
     if (!matchesAttempt)
       return {
         kind: 'broken',
