Restore the store in the soak; write down restores and statements of servers

The soak had no restores: a separate series takes copies of the store, brings it back from them and lets the operator and the servers write again up to 1.5 s later, so that the series of earlier seeds stay the same.

--- a/src/common/serving/ServerDepartures.ts
+++ b/src/common/serving/ServerDepartures.ts
@@ -98,6 +98,11 @@
     private readonly bounds: DepartureBounds,
   ) {}
 
+  /** Number of departures that are remembered, also of servers that have ended by now. */
+  get count(): number {
+    return this.departures.size;
+  }
+
   /** What this process knows, for its peers. */
   get reports(): ServerDepartureReports {
     const now = this.clock.now();
--- a/src/load/soak/FaultActions.ts
+++ b/src/load/soak/FaultActions.ts
@@ -29,6 +29,9 @@
 /** Link delay; much longer than a call, which takes a few ms, and much shorter than its time-out. */
 const LINK_DELAY_MS = 120;
 
+/** Longest time until the operator and the servers write again after a restore, in ms. */
+const MAX_REWRITE_DELAY_MS = 1500;
+
 /** Range of the steps of the store's clock; a step is at most half of it in either direction. */
 const CLOCK_STEP_RANGE_MS = 3_600_000;
 
@@ -118,6 +121,21 @@
   });
 }
 
+/** Takes the store away, and back with the rows of an earlier copy; their writers write again. */
+async function restoreStore(context: FaultContext): Promise<void> {
+  const { deployment, fault } = context;
+  const restore = deployment.copyStore();
+  await sleep(fault.durationMs);
+  await recordDisturbance(context, 'store', async () => {
+    deployment.setStoreFault('refuse');
+    await sleep(LINK_DELAY_MS);
+    restore();
+    deployment.setStoreFault(undefined);
+    await sleep(deriveChoice(fault.choice) * MAX_REWRITE_DELAY_MS);
+    deployment.rewriteStore();
+  });
+}
+
 async function injectStoreLinkFault(
   context: FaultContext,
   inject: (target: SoakProcess) => unknown,
@@ -172,6 +190,7 @@
   storeSilent: (context) => injectStoreFault(context, 'silent'),
   storeLosesAnswers: (context) => injectStoreFault(context, 'lost-answer'),
   storeHistoryLost: async ({ deployment }) => deployment.dropStoreHistory(),
+  storeRestored: restoreStore,
   storeClockJumps: async ({ deployment, fault }) =>
     deployment.shiftStoreClock((fault.choice - 0.5) * CLOCK_STEP_RANGE_MS),
   serverLinkCut: (context) =>
--- a/src/load/soak/FaultSeries.ts
+++ b/src/load/soak/FaultSeries.ts
@@ -35,6 +35,8 @@
   keysChange: 3,
   /** The store gets a row that cannot be parsed. */
   rowMalformed: 1,
+  /** Drawn by {@link createRestoreSeries}, so that the series of earlier seeds stay as they are. */
+  storeRestored: 0,
 };
 
 /** Mean time between fault starts, in ms; on average, two to four faults are active at once. */
@@ -42,6 +44,9 @@
 const MIN_DURATION_MS = 100;
 const MAX_DURATION_MS = 2500;
 
+/** Mean time from a restore of the store to the copy for the next one, in ms. */
+const RESTORE_GAP_MS = 2500;
+
 /** Probability that a fault is injected {@link BURST_LENGTH} times in a row on the same target. */
 const BURST_SHARE = 0.2;
 const BURST_LENGTH = 3;
@@ -75,6 +80,23 @@
   return faults.filter(({ atMs }) => atMs < endsAt).sort((left, right) => left.atMs - right.atMs);
 }
 
+/**
+ * Draws restores of the store from copies.
+ * @param random - source of all random choices
+ * @param seconds - length of the series, in seconds
+ * @returns about one restore in four seconds, in the order of their start times
+ */
+export function createRestoreSeries(random: SeededRandom, seconds: number): ScheduledFault[] {
+  const faults: ScheduledFault[] = [];
+  const endsAt = seconds * 1000;
+  for (let atMs = random.next() * RESTORE_GAP_MS; atMs < endsAt;) {
+    const durationMs = MIN_DURATION_MS + random.next() * (MAX_DURATION_MS - MIN_DURATION_MS);
+    faults.push({ kind: 'storeRestored', atMs, durationMs, choice: random.next() });
+    atMs += durationMs + (0.5 + random.next()) * RESTORE_GAP_MS;
+  }
+  return faults;
+}
+
 function pickKind(choice: number): FaultKind {
   const entries = Object.entries(WEIGHTS) as [FaultKind, number][];
   let remaining = choice * entries.reduce((sum, [, frequency]) => sum + frequency, 0);
--- a/src/load/soak/Soak.ts
+++ b/src/load/soak/Soak.ts
@@ -3,7 +3,7 @@
 import { Client } from 'undici';
 import { SeededRandom } from '../../common/time/SeededRandom.js';
 import { TEMPORARY_KEY, FAULT_ACTIONS } from './FaultActions.js';
-import { createFaultSeries } from './FaultSeries.js';
+import { createFaultSeries, createRestoreSeries } from './FaultSeries.js';
 import { BOUNDS, findViolations, type DeploymentLimits } from './HistoryChecks.js';
 import { SoakCallers } from './SoakCallers.js';
 import {
@@ -81,12 +81,16 @@
 
   /**
    * @param seconds - length of the fault phase, in seconds
+   * @param hasRestores - whether the store is restored from copies meanwhile
    * @returns the report with all violations
    */
-  async run(seconds: number): Promise<SoakReport> {
+  async run(seconds: number, hasRestores = false): Promise<SoakReport> {
     const watchers = Promise.all([this.watchExits(), this.watchStalls()]);
     this.callers.start();
-    const faults = createFaultSeries(this.random, seconds);
+    const restores = hasRestores
+      ? createRestoreSeries(new SeededRandom(this.seed + 2), seconds)
+      : [];
+    const faults = [...createFaultSeries(this.random, seconds), ...restores];
     const startedAt = performance.now();
     const running = faults.map(async (fault) => {
       await sleep(startedAt + fault.atMs - performance.now());
--- a/src/load/soak/Types.ts
+++ b/src/load/soak/Types.ts
@@ -115,7 +115,8 @@
   | 'serverDrains'
   | 'serversSwapAddresses'
   | 'keysChange'
-  | 'rowMalformed';
+  | 'rowMalformed'
+  | 'storeRestored';
 
 /** One entry of a fault series. */
 export interface ScheduledFault {
@@ -159,6 +160,10 @@
   setStoreFault(fault: 'refuse' | 'silent' | 'lost-answer' | undefined): void;
   /** Drops the change history of the store. */
   dropStoreHistory(): void;
+  /** @returns function that restores the store from a copy that is taken now */
+  copyStore(): () => void;
+  /** Writes again what the operator and the servers wrote last. */
+  rewriteStore(): void;
   /** Shifts the clock of the store. */
   shiftStoreClock(offsetMs: number): void;
   /**
--- a/src/serving/ServingProcess.ts
+++ b/src/serving/ServingProcess.ts
@@ -14,6 +14,7 @@
 import { ServingMetrics } from './ServingMetrics.js';
 import type { ServingProcessOptions } from './ServingProcessOptions.js';
 import { parseSocketAddress } from './SocketAddress.js';
+import { registerStateGauges } from './StateGauges.js';
 import { StageBatcher } from './StageBatcher.js';
 import { StageClient, toStageTask } from './StageClient.js';
 import { createRequestRunner } from './createRequestRunner.js';
@@ -103,6 +104,7 @@
     });
     const { statements, crashingParts } = this.observations;
     const { departures } = statements;
+    registerStateGauges(metrics, statements, this.storeEra);
     this.directory = new ServerDirectory(clock, departures);
     departures.onChanged(() => this.batcher.updateServers());
     departures.onEnded(() => this.batcher.updateServers());
