Tell peers of a departure only until the store shows it

In a release of many servers each heartbeat would have carried up to a hundred departures for a minute, which is more than small links bear at four heartbeats a second to each peer. A departure is now reported until the registration shows it, and again if a restored store contradicts it, at most 32 at a time. A second restore within half a second no longer makes a pending configuration count as a leftover; its test fails on the code before.

--- a/src/common/serving/ConfigurationOrder.test.ts
+++ b/src/common/serving/ConfigurationOrder.test.ts
@@ -32,6 +32,15 @@
     assert.equal(order.offer({ version: 6, digest: 60, era: 2 }, LATER_MS), 'in-force');
   });
 
+  it('accepts it also if a second restore loses it before it has settled', () => {
+    const order = createOrder();
+    assert.equal(order.offer({ version: 3, digest: 31, era: 2 }, 0), 'pending');
+    assert.equal(order.offer({ version: 4, digest: 40, era: 3 }, 100), 'older');
+    assert.equal(order.offer({ version: 3, digest: 31, era: 3 }, 200), 'pending');
+    assert.equal(order.isSettled(LATER_MS), true);
+    assert.equal(order.rank.version, 3);
+  });
+
   it('does not go back while an operator writes its configurations again in order', () => {
     const order = createOrder();
     assert.equal(order.offer({ version: 3, digest: 31, era: 2 }, 0), 'pending');
--- a/src/common/serving/ConfigurationOrder.ts
+++ b/src/common/serving/ConfigurationOrder.ts
@@ -84,10 +84,13 @@
    */
   offer(offered: StoredConfiguration, now: number): 'in-force' | 'known' | 'older' | 'pending' {
     const { version, digest, era } = offered;
-    const knownSince = this.known.get(digest) ?? era;
-    this.remember(digest, era);
+    const isLeftover = (this.known.get(digest) ?? era) < era;
     const pending = this.pending?.digest === digest ? this.pending : undefined;
     this.pending = undefined;
+    const isUnderstood =
+      !this.current || version > this.current.version || era <= this.current.era || isLeftover;
+    // One that is only pending may be lost with the next restore, and then be written again.
+    if (isUnderstood) this.remember(digest, era);
     if (!this.current || version > this.current.version) {
       this.current = { generation: this.rank.generation, version, digest, era };
       return 'in-force';
@@ -96,7 +99,7 @@
       this.current.era = Math.max(era, this.current.era);
       return 'known';
     }
-    if (era <= this.current.era || knownSince < era) return 'older';
+    if (isUnderstood) return 'older';
     this.pending = pending ?? { ...offered, since: now };
     return 'pending';
   }
@@ -108,6 +111,7 @@
   isSettled(now: number): boolean {
     if (!this.pending || now - this.pending.since < SETTLE_MS) return false;
     const { version, digest, era } = this.pending;
+    this.remember(digest, era);
     this.current = { generation: era, version, digest, era };
     this.pending = undefined;
     return true;
--- a/src/common/serving/ServerDepartures.ts
+++ b/src/common/serving/ServerDepartures.ts
@@ -47,7 +47,9 @@
   confirmedAt: number;
   /** Time from which on the departure no longer holds, on the clock, in ms. */
   until: number;
-  /** Whether the store shows the server as ready, so that peers may not know of the departure. */
+  /** Whether the store has shown that the server leaves, so that peers know of the departure. */
+  isInStore: boolean;
+  /** Whether the store shows the server as ready again, so that peers may not know of the departure. */
   isContradicted: boolean;
 }
 
@@ -57,8 +59,8 @@
 /** Time after the last confirmation for which a departure is sent to the peers, in ms. */
 const REPORT_MS = 60_000;
 
-/** Maximum number of departures in one heartbeat, so that it fits in a datagram. */
-const MAX_REPORTS = 100;
+/** Maximum number of departures in one heartbeat, so that it fits in a few packets. */
+const MAX_REPORTS = 32;
 
 /** Bounds of {@link ServerDepartures}. */
 export interface DepartureBounds {
@@ -107,11 +109,8 @@
   get reports(): ServerDepartureReports {
     const now = this.clock.now();
     const own = [...this.departures].filter(
-      ([, { source, isOwn, isContradicted, confirmedAt, until }]) =>
-        isOwn &&
-        (source === 'response' || isContradicted) &&
-        now - confirmedAt < REPORT_MS &&
-        now < until,
+      ([, { isOwn, isInStore, isContradicted, confirmedAt, until }]) =>
+        isOwn && (!isInStore || isContradicted) && now - confirmedAt < REPORT_MS && now < until,
     );
     return Object.fromEntries(
       own.slice(-MAX_REPORTS).map(([server, { source, startedAtMs, sequence, since, until }]) => [
@@ -157,9 +156,10 @@
    * @param server - last registration
    */
   recordRegistration(server: BackendServer): void {
-    const isSaid = this.departureOf(server)?.source === 'response';
+    const known = this.departureOf(server);
+    if (known) known.isInStore = true;
     // What the server itself said also holds if the same incarnation registers again.
-    if (isSaid && server.startedAtMs !== undefined) return;
+    if (known?.source === 'response' && server.startedAtMs !== undefined) return;
     const { isDraining: isCertain } = server;
     this.add(server, { source: 'registration', isOwn: true, isCertain, since: this.clock.now() });
   }
@@ -233,18 +233,21 @@
   ): void {
     const { id, startedAtMs, sequence } = registration;
     const { source, isOwn } = details;
+    const known = this.departures.get(id);
+    const isNew = known?.startedAtMs !== startedAtMs || known?.source !== source;
     this.departures.delete(id);
     this.departures.set(id, {
       startedAtMs,
       sequence,
       until: Infinity,
       confirmedAt: this.clock.now(),
+      isInStore: source === 'registration',
       isContradicted: false,
       ...details,
     });
     if (this.departures.size > MAX_DEPARTURES) {
       this.departures.delete(this.departures.keys().next().value!);
     }
-    this.changedEmitter.fire({ server: id, source, isOwn });
+    if (isNew || !known) this.changedEmitter.fire({ server: id, source, isOwn });
   }
 }
