Ask for the era without waiting when a restore is heard of between two reads

A follower that pauses after a change had no read to end when another follower or a peer noticed a restore, and then waited up to 25 s for a change after a version that the store had given out again. It now asks once without waiting. The new test of TableFollower fails on the code before.

--- a/src/serving/TableFollower.test.ts
+++ b/src/serving/TableFollower.test.ts
@@ -122,3 +122,36 @@
   storeEra.observe(3);
   await Promise.race([running, sleep(CHANGE_MS)]);
 });
+
+test('asks without waiting after another one has shown a restore between two reads', async () => {
+  const storeEra = new StoreEra();
+  storeEra.observe(1);
+  const waits: number[] = [];
+  const row = { key: 'server', value: Buffer.from('row') };
+  const feed: RowFeed = {
+    ...createBusyFeed().feed,
+    readAll: async () => ({ ok: true, value: { rows: [], position: { era: 1, version: 0 } } }),
+    changes: async (_table, { version }, { waitMs }) => {
+      waits.push(waitMs);
+      await sleep(CHANGE_MS);
+      return {
+        ok: true,
+        value: {
+          kind: 'changes',
+          page: { rows: [row], position: { era: 1, version: version + 1 } },
+        },
+      };
+    },
+  };
+  // The pause after a change lasts 75 ms with two processes.
+  const follower = createFollower(feed, 2, () => storeEra.observe(2), storeEra);
+  const running = follower.run();
+  await sleep(25 * CHANGE_MS);
+  follower.dispose();
+  await running;
+  assert.ok(waits.length >= 3);
+  assert.deepEqual(
+    waits.map((waitMs) => waitMs > 0),
+    waits.map((_, index) => index !== 1),
+  );
+});
--- a/src/serving/TableFollower.ts
+++ b/src/serving/TableFollower.ts
@@ -76,6 +76,9 @@
   /** Latest position that was read, also while the whole table is read again. */
   private known: StorePosition | undefined;
 
+  /** Newest era that was heard of when a read began. */
+  private checkedEra = 0;
+
   private failures = 0;
 
   private isStopped = false;
@@ -122,8 +125,11 @@
   private async readChanges(): Promise<PlatformError | undefined> {
     const { feed, table, listener, logger, storeEra } = this.options;
     const known = this.position!;
-    // The store may have been restored while it was away, which only a response shows.
-    const pollWaitMs = this.failures > 0 ? 0 : this.pollWaitMs();
+    // The store may have been restored while it was away or between two reads, which only a
+    // response shows.
+    const isEraUnchecked = storeEra.current > Math.max(known.era, this.checkedEra);
+    this.checkedEra = storeEra.current;
+    const pollWaitMs = this.failures > 0 || isEraUnchecked ? 0 : this.pollWaitMs();
     const timeoutMs = pollWaitMs + READ_TIMEOUT_MS;
     this.waitingRead = new AbortController();
     const { signal } = this.waitingRead;
