Keep what a server said over what peers report of its registration

Two peers that report the same departure from different sources made a process replace one by the other with every heartbeat, with a log line and an update of all queues each time. The new test of ServerDepartures fails on the code before.

--- a/src/common/serving/ServerDepartures.test.ts
+++ b/src/common/serving/ServerDepartures.test.ts
@@ -36,6 +36,18 @@
     assert.deepEqual(peer.reports, {});
   });
 
+  it('does not alternate between what two peers report of the same server', () => {
+    const { departures } = createFixture();
+    const changes: string[] = [];
+    departures.onChanged(({ source }) => changes.push(source));
+    const report = { startedAtMs: 1, sequence: null, ageMs: 0, forMs: null };
+    for (let round = 0; round < 3; round += 1) {
+      departures.merge({ s1: { ...report, source: 'registration' } });
+      departures.merge({ s1: { ...report, source: 'response' } });
+    }
+    assert.deepEqual(changes, ['registration', 'response']);
+  });
+
   it('ignores an earlier registration after a restore until the store would have expired it', () => {
     const { clock, departures, directory } = createFixture();
     const server = createServer('s1', { startedAtMs: 1, sequence: 4 });
--- a/src/common/serving/ServerDepartures.ts
+++ b/src/common/serving/ServerDepartures.ts
@@ -190,7 +190,9 @@
       // A later incarnation has no part in the departure of an earlier one.
       if (known && (known.startedAtMs ?? 0) > (startedAtMs ?? 0)) return;
       const isSame = known?.startedAtMs === startedAtMs && known?.source === source;
-      if (known?.isOwn && isSame) return;
+      // What a server said itself is worth more than its registration.
+      const isSaid = known?.startedAtMs === startedAtMs && known?.source === 'response';
+      if (isSaid || (known?.isOwn && isSame)) return;
       const until = forMs === null ? Infinity : now + forMs;
       if (known && isSame) {
         known.until = until;
