--- a/src/common/serving/ConfigurationOrder.ts
+++ b/src/common/serving/ConfigurationOrder.ts
@@ -36,7 +36,7 @@
   /** Latest era in which the configuration in force was read; 0 for none. */
   readonly era: number;
   /** Digests of the configurations that were read, with the era of the first read. */
-  readonly known: readonly (readonly [digest: number, era: number])[];
+  readonly known: [digest: number, era: number][];
 }
 
 interface PendingConfiguration extends StoredConfiguration {
--- a/src/serving/RegistrationView.test.ts
+++ b/src/serving/RegistrationView.test.ts
@@ -32,7 +32,7 @@
   return view.shouldCopyFrom(peer);
 }
 
-const rowOf = (id: string) => [id, Buffer.from(id).toString('base64')] as const;
+const rowOf = (id: string): [string, string] => [id, Buffer.from(id).toString('base64')];
 
 describe('RegistrationView after the store was restored', () => {
   it('copies the registrations of a peer in a later era although their version is lower', () => {
--- a/src/serving/RegistrationView.ts
+++ b/src/serving/RegistrationView.ts
@@ -57,7 +57,10 @@
 
   /** The registrations for peers, encoded as in the store. */
   get snapshot(): RegistrationSnapshot {
-    const rows = [...this.rows].map(([key, value]) => [key, value.toString('base64')] as const);
+    const rows = [...this.rows].map(([key, value]): [string, string] => [
+      key,
+      value.toString('base64'),
+    ]);
     return { ...this.newestPosition, rows };
   }
 
--- a/src/serving/peers/Membership.ts
+++ b/src/serving/peers/Membership.ts
@@ -7,7 +7,12 @@
 import type { StoreEra } from '../StoreEra.js';
 import type { PeerClients } from './PeerClients.js';
 import { OwnRow } from './OwnRow.js';
-import { MemberRow, type Heartbeat } from './PeerMessages.js';
+import {
+  ConfigurationSnapshot,
+  MemberRow,
+  RegistrationSnapshot,
+  type Heartbeat,
+} from './PeerMessages.js';
 import type { PeerView } from './PeerView.js';
 
 /** Time-out for copying the configuration or the registrations of a peer, in ms. */
@@ -110,17 +115,17 @@
       const snapshot = await peerClients
         .clientFor(address)
         .configuration.query(undefined, { signal });
-      if (snapshot) configuration.applyFromPeer(snapshot, id);
+      if (snapshot) configuration.applyFromPeer(ConfigurationSnapshot.parse(snapshot), id);
     });
   }
 
   private pullRegistrations({ id, address }: Heartbeat): void {
     const { peerClients, registrations } = this.services;
     this.pull('registrations', id, async (signal) => {
-      registrations.applyIfNewer(
-        await peerClients.clientFor(address).registrations.query(undefined, { signal }),
-        id,
-      );
+      const snapshot = await peerClients
+        .clientFor(address)
+        .registrations.query(undefined, { signal });
+      registrations.applyIfNewer(RegistrationSnapshot.parse(snapshot), id);
     });
   }
 
--- a/src/serving/peers/PeerMessages.ts
+++ b/src/serving/peers/PeerMessages.ts
@@ -1,10 +1,10 @@
 /** Messages between serving processes. */
 import { z } from 'zod';
-import type { ConfigurationHistory } from '../../common/serving/ConfigurationOrder.js';
+import { ConfigurationRank } from '../../common/serving/ConfigurationOrder.js';
 import { CrashEvidence } from '../../common/serving/CrashingParts.js';
 import { ServerDepartureReports } from '../../common/serving/ServerDepartures.js';
 import { ServerLimitReports } from '../../common/serving/ServerLimits.js';
-import type { StorePosition } from '../../common/serving/StorePosition.js';
+import { StorePosition } from '../../common/serving/StorePosition.js';
 import type { TaskOutcome } from '../../common/serving/Types.js';
 
 /** State of a process, which it sends to all others several times a second, as one datagram. */
@@ -81,14 +81,26 @@
   readonly outcome: TaskOutcome;
 }
 
-/** All registrations of backend servers that a process knows, encoded as in the store. */
-export interface RegistrationSnapshot extends StorePosition {
+/**
+ * All registrations of backend servers that a process knows, encoded as in the store. Older versions
+ * send no era.
+ */
+export const RegistrationSnapshot = StorePosition.extend({
+  era: z.number().default(0),
   /** Keys and base64 values of the rows. */
-  readonly rows: readonly (readonly [string, string])[];
-}
+  rows: z.array(z.tuple([z.string(), z.string()])),
+});
+export type RegistrationSnapshot = z.infer<typeof RegistrationSnapshot>;
 
-/** The configuration of a process, encoded as in the store, and what it knows about its order. */
-export interface ConfigurationSnapshot extends ConfigurationHistory {
+/**
+ * The configuration of a process, encoded as in the store, and what it knows about its order. Older
+ * versions send the version only.
+ */
+export const ConfigurationSnapshot = ConfigurationRank.extend({
+  generation: z.number().default(0),
+  era: z.number().default(0),
+  known: z.array(z.tuple([z.number(), z.number()])).default([]),
   /** Row value in base64. */
-  readonly value: string;
-}
+  value: z.string(),
+});
+export type ConfigurationSnapshot = z.infer<typeof ConfigurationSnapshot>;
