--- a/src/common/attempts/AttemptRecord.ts
+++ b/src/common/attempts/AttemptRecord.ts
@@ -72,8 +72,8 @@
    * outcome was acknowledged. Refusals need no acknowledgement.
    */
   get released(): boolean {
-    const isSettled = this.ended && !this.isClaimOpen;
-    return isSettled && (this.isAcknowledged || this.state === 'voided');
+    const settle = this.ended && !this.isClaimOpen;
+    return settle && (this.isAcknowledged || this.state === 'voided');
   }
 
   /** Whether the attempt reads a stored result instead of being handed to the backend server. */
--- a/src/common/serving/ConfigurationOrder.test.ts
+++ b/src/common/serving/ConfigurationOrder.test.ts
@@ -19,15 +19,15 @@
     const order = createOrder();
     assert.equal(order.offer({ version: 3, digest: 30, era: 1 }, 0), 'older');
     assert.equal(order.offer({ version: 4, digest: 40, era: 2 }, 0), 'older');
-    assert.equal(order.isSettled(LATER_MS), false);
+    assert.equal(order.settle(LATER_MS), false);
     assert.equal(order.rank.version, 5);
   });
 
   it('accepts a number that was given out before once it has settled', () => {
     const order = createOrder();
     assert.equal(order.offer({ version: 5, digest: 51, era: 2 }, 0), 'pending');
-    assert.equal(order.isSettled(1), false);
-    assert.equal(order.isSettled(LATER_MS), true);
+    assert.equal(order.settle(1), false);
+    assert.equal(order.settle(LATER_MS), true);
     assert.deepEqual(order.rank, { generation: 2, version: 5 });
     assert.equal(order.offer({ version: 6, digest: 60, era: 2 }, LATER_MS), 'in-force');
   });
@@ -37,7 +37,7 @@
     assert.equal(order.offer({ version: 3, digest: 31, era: 2 }, 0), 'pending');
     assert.equal(order.offer({ version: 4, digest: 40, era: 3 }, 100), 'older');
     assert.equal(order.offer({ version: 3, digest: 31, era: 3 }, 200), 'pending');
-    assert.equal(order.isSettled(LATER_MS), true);
+    assert.equal(order.settle(LATER_MS), true);
     assert.equal(order.rank.version, 3);
   });
 
@@ -45,14 +45,14 @@
     const order = createOrder();
     assert.equal(order.offer({ version: 3, digest: 31, era: 2 }, 0), 'pending');
     assert.equal(order.offer({ version: 5, digest: 50, era: 2 }, 100), 'known');
-    assert.equal(order.isSettled(LATER_MS), false);
+    assert.equal(order.settle(LATER_MS), false);
     assert.equal(order.rank.version, 5);
   });
 
   it('believes a peer that has seen the number given out again, and not one that has not', () => {
     const restored = createOrder();
     restored.offer({ version: 3, digest: 31, era: 2 }, 0);
-    restored.isSettled(LATER_MS);
+    restored.settle(LATER_MS);
     const earlier = createOrder();
     assert.equal(restored.merge(earlier.history, 50), false);
     assert.equal(earlier.merge(restored.history, 31), true);
@@ -65,7 +65,7 @@
     started.offer({ version: 4, digest: 40, era: 2 }, 0);
     assert.equal(started.merge(createOrder().history, 50), true);
     assert.equal(started.offer({ version: 4, digest: 40, era: 2 }, 0), 'older');
-    assert.equal(started.isSettled(LATER_MS), false);
+    assert.equal(started.settle(LATER_MS), false);
   });
 
   it('agrees with its peers after any restores, changes and exchanges', () => {
@@ -86,8 +86,8 @@
           now += LATER_MS;
           readers.forEach((reader) => {
             const outcome = orders[reader]!.offer({ version, digest: index + 1, era }, now);
-            const isSettled = orders[reader]!.isSettled(now + LATER_MS);
-            if (outcome === 'in-force' || isSettled) digests[reader] = index + 1;
+            const hasSettled = orders[reader]!.settle(now + LATER_MS);
+            if (outcome === 'in-force' || hasSettled) digests[reader] = index + 1;
           });
         });
         const exchange = () =>
--- a/src/common/serving/ConfigurationOrder.ts
+++ b/src/common/serving/ConfigurationOrder.ts
@@ -78,9 +78,10 @@
   }
 
   /**
+   * Ranks a configuration that was read from the store.
    * @param offered - configuration that the store holds
    * @param now - time, on the clock, in ms
-   * @returns whether it is in force from now on; `pending` if {@link isSettled} has to confirm it
+   * @returns whether it is in force from now on; `pending` until {@link settle} confirms it
    */
   offer(offered: StoredConfiguration, now: number): 'in-force' | 'known' | 'older' | 'pending' {
     const { version, digest, era } = offered;
@@ -105,10 +106,11 @@
   }
 
   /**
+   * Puts the pending configuration in force if it has remained the store's for long enough.
    * @param now - time, on the clock, in ms
-   * @returns whether the pending configuration is in force from now on
+   * @returns whether it is in force from now on
    */
-  isSettled(now: number): boolean {
+  settle(now: number): boolean {
     if (!this.pending || now - this.pending.since < SETTLE_MS) return false;
     const { version, digest, era } = this.pending;
     this.remember(digest, era);
@@ -118,7 +120,8 @@
   }
 
   /**
-   * @param history - what a peer knows
+   * Adds what a peer knows, and ranks its configuration.
+   * @param history - what the peer knows
    * @param digest - digest of the peer's configuration
    * @returns whether the peer's configuration is in force from now on
    */
--- a/src/serving/ConfigurationView.ts
+++ b/src/serving/ConfigurationView.ts
@@ -82,7 +82,7 @@
 
   /** Applies the configuration that was pending if it has remained the store's for long enough. */
   applySettled(): void {
-    if (!this.order.isSettled(this.clock.now()) || !this.pending) return;
+    if (!this.order.settle(this.clock.now()) || !this.pending) return;
     const { decoded, value } = this.pending;
     this.pending = undefined;
     this.apply(decoded, value, 'store');
