--- a/src/load/soak/FaultSeries.test.ts
+++ b/src/load/soak/FaultSeries.test.ts
@@ -2,7 +2,7 @@
 import { test } from 'node:test';
 import { SeededRandom } from '../../common/time/SeededRandom.js';
 import { FAULT_ACTIONS } from './FaultActions.js';
-import { createFaultSeries } from './FaultSeries.js';
+import { createFaultSeries, createRestoreSeries } from './FaultSeries.js';
 
 test('a seed always gives the same fault series, sorted by start and within its length', () => {
   // Guards against failed runs that cannot be reproduced from their seed.
@@ -15,8 +15,10 @@
 test('a long series contains every kind of fault, and some faults overlap', () => {
   // Guards against a soak that never exercises a fault, or only one fault at a time.
   const series = createFaultSeries(new SeededRandom(1), 600);
+  const restores = createRestoreSeries(new SeededRandom(1), 600);
+  assert.ok(restores.length > 60 && restores.every(({ atMs }) => atMs < 600_000));
   assert.deepEqual(
-    [...new Set(series.map(({ kind }) => kind))].sort(),
+    [...new Set([...series, ...restores].map(({ kind }) => kind))].sort(),
     Object.keys(FAULT_ACTIONS).sort(),
   );
   assert.ok(
