review: CONFIG, one cut-off process takes the fleet back to an older configuration

Case 3: after a restore of the store, a process that does not know the restored configuration puts it in force as a newer generation, and its peers copy it although the store holds the newer version again.

--- a/review/common/harness.mjs
+++ b/review/common/harness.mjs
@@ -61,6 +61,8 @@
   era = 1;
   waiters = new Set();
   onWrite = () => undefined;
+  /** Called after each answer to `GET /rows-get`, with the table and the port of the caller. */
+  onRead = () => undefined;
 
   async start() {
     this.server = createServer((request, response) => {
@@ -99,6 +101,20 @@
     waiters.forEach((wake) => wake());
   }
 
+  /** @returns a copy of all rows as of now */
+  copy() {
+    return { rows: new Map(this.rows), version: this.version };
+  }
+
+  /** Comes back from a copy: versions go back and the era rises. */
+  restore({ rows, version }) {
+    this.rows = new Map(rows);
+    this.version = version;
+    this.era += 1;
+    this.waiters.clear();
+    this.server.closeAllConnections();
+  }
+
   stop() {
     this.server.close();
     this.server.closeAllConnections();
@@ -119,6 +135,7 @@
         .sort((left, right) => (left.key < right.key ? -1 : 1));
       const page = rows.slice(0, Math.min(500, Number(query('limit')) || 500));
       answer(200, { rows: page, has_more: page.length < rows.length });
+      this.onRead(query('table'), request.socket.remotePort);
     } else if (url.pathname === '/rows-feed') {
       const after = Number(query('after'));
       const changed = () =>
@@ -173,14 +190,20 @@
 
   async start() {
     this.server = createTcpServer((inner) => {
+      if (this.isDown) {
+        inner.on('error', () => undefined);
+        inner.resetAndDestroy();
+        return;
+      }
       const outer = connect({ host: this.host, port: Number(this.port) });
       const pair = { inner, outer, isSilent: false };
       this.pairs.add(pair);
       const forward = (from, to) => {
-        from.on('data', (chunk) => !pair.isSilent && to.write(chunk));
+        const pass = (deliver) => (this.held ? this.held.push(deliver) : deliver());
+        from.on('data', (chunk) => !pair.isSilent && pass(() => to.write(chunk)));
         from.on('error', () => undefined);
         from.on('close', () => {
-          if (!pair.isSilent || from === inner) to.destroy();
+          if (!pair.isSilent || from === inner) pass(() => to.destroy());
           this.pairs.delete(pair);
         });
       };
@@ -191,6 +214,28 @@
     this.address = `127.0.0.1:${this.server.address().port}`;
   }
 
+  /** The store is away: connections are reset, those that are open and new ones. */
+  setDown(isDown) {
+    this.isDown = isDown;
+    if (!isDown) return;
+    this.pairs.forEach(({ inner, outer }) => {
+      inner.resetAndDestroy();
+      outer.destroy();
+    });
+  }
+
+  /** Cuts the link: what is sent from now on, on open and on new connections, arrives after heal(). */
+  partition() {
+    this.held = [];
+  }
+
+  /** The link works again. */
+  heal() {
+    const { held = [] } = this;
+    this.held = undefined;
+    held.forEach((deliver) => deliver());
+  }
+
   /** All connections that are open now deliver nothing further, and are not closed. */
   silence() {
     this.pairs.forEach((pair) => {
