review: case 5, the garbled answer is the server's own with one wrong bit

The answer is the whole answer of the server with status 000 in place of 200, not a status line alone.

--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -15,7 +15,9 @@
 const DEADLINE_MS = 1500;
 const HALF_A_SECOND_MS = 500;
 const KEY = 'key-of-the-tenant';
-const NO_RESPONSE = 'HTTP/1.1 000 Garbled\r\n\r\n';
+/** An answer of the server in which one bit of the status 200 is wrong, which makes it no response. */
+const garbled = (id, server) =>
+  `HTTP/1.1 000 OK\r\nCitronstage-Attempt-Id: ${id}\r\nCitronstage-Response-Seal: ${server}.${id}\r\nContent-Length: 4\r\n\r\ndone`;
 
 let isFaulty = false;
 
@@ -34,8 +36,9 @@
     }
     this.runs.push({ id: attemptId, server: this.id, at: performance.now(), headers: request.headers });
     await sleep(this.workMs);
-    this.record.line(`${this.id}: answers ${attemptId} with ${JSON.stringify(NO_RESPONSE)}`);
-    request.socket.end(NO_RESPONSE);
+    const bytes = garbled(attemptId, this.id);
+    this.record.line(`${this.id}: answers ${attemptId} with ${JSON.stringify(bytes)}`);
+    request.socket.end(bytes);
   }
 }
 
