--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -1,133 +1,127 @@
 /**
- * One answer of one server is no response. Counts the requests that are still unanswered at their
- * route's time-out, and how many of them have no answer half a second later.
+ * A prompt part that crashes servers, in requests that several callers send at the same moment, as
+ * when a group starts to use a template, each caller with a subject of its own. Counts the requests with the part that reach servers later
+ * than contact_ms after the fifth crash.
  */
-import { Connection, PlainWorker, Store, hasTrouble, runCase, sleep, startFronts } from '../common/harness.mjs';
+import { BOUNDS, Connection, StreamWorker, Store, hasTrouble, runCase, sleep, startFronts } from '../common/harness.mjs';
 
-const ZONES = ['morava-a', 'morava-b', 'morava-c'];
-const REQUESTS_PER_S = 40;
-const LOAD_S = 20;
-const FAULT_AT_S = 4;
-/** `garble`: share 0.35 of the servers, x 0.02 of their answers, for 5.5 s. */
-const FAULT_S = 5.5;
-const ONE_IN = 50;
-const TIMEOUT_MS = 800;
-const DEADLINE_MS = 1500;
-const HALF_A_SECOND_MS = 500;
+const FRONTS = 2;
+const MODEL_SERVERS = 10;
+const LOAD_S = 30;
+const GROUP_AT_S = [4, 10, 16];
+const GROUP_SIZE = 8;
+const SOUND_PER_S = 30;
+const DOWN_MS = 3000;
+const TIMEOUT_MS = 6000;
 const KEY = 'key-of-the-tenant';
-/** An answer of the server in which one bit of the status 200 is wrong, which makes it no response. */
-const garbled = (id, server) =>
-  `HTTP/1.1 000 OK\r\nCitronstage-Attempt-Id: ${id}\r\nCitronstage-Response-Seal: ${server}.${id}\r\nContent-Length: 4\r\n\r\ndone`;
-
-let isFaulty = false;
-
-class OrderWorker extends PlainWorker {
-  answersUnderFault = 0;
-
-  async handle(request, response, body, attemptId) {
-    if (!isFaulty || !this.isAffected) {
-      await super.handle(request, response, body, attemptId);
-      return;
-    }
-    this.answersUnderFault += 1;
-    if (this.answersUnderFault % ONE_IN !== 0) {
-      await super.handle(request, response, body, attemptId);
-      return;
-    }
-    this.runs.push({ id: attemptId, server: this.id, at: performance.now(), headers: request.headers });
-    await sleep(this.workMs);
-    const bytes = garbled(attemptId, this.id);
-    this.record.line(`${this.id}: answers ${attemptId} with ${JSON.stringify(bytes)}`);
-    request.socket.end(bytes);
-  }
-}
+const BAD_PART = 'bad0bad0';
 
 await runCase(import.meta.url, async ({ record, folder, onEnd, endFronts }) => {
   const store = new Store();
   await store.start();
   onEnd(() => store.stop());
-  const route = {
-    host: 'orders.example', timeout_ms: TIMEOUT_MS, target_latency_ms: 300, priority: 2,
-    service: 'zakazky', public: false, sticky: false, resumable: false,
-  };
   store.put('op', 'config', {
     version: 3,
     routes: [
-      { ...route, name: 'job-claim', prefix: '/claims/', kind: 'unsafe', attempts: 1 },
-      { ...route, name: 'order-read', prefix: '/orders/', kind: 'safe', attempts: 2 },
+      {
+        name: 'plan-draft', host: 'plan.example', prefix: '/plan/', kind: 'streaming', timeout_ms: TIMEOUT_MS,
+        target_latency_ms: 1400, priority: 1, service: 'citron-pool', attempts: 1, public: false,
+        sticky: true, resumable: false, max_gap_ms: 150,
+      },
+    ],
+    services: [
+      { name: 'citron-pool', health_path: '/health', max_conns: 290, protocol: 'h1', tls: false, engine: { slots: 48, kv_tokens: 613959 } },
     ],
-    services: [{ name: 'zakazky', health_path: '/health', max_conns: 96, protocol: 'h1', tls: false }],
     limits: { max_header_bytes: 16384, max_body_bytes: 4194304, header_timeout_ms: 3000, idle_timeout_ms: 15000 },
     tenants: [{ name: 'weaver', api_keys: [KEY], priority: 1 }],
   });
-  const servers = ZONES.map((zone, index) => {
-    const server = new OrderWorker({ store, id: `i-orders${index + 1}`, service: 'zakazky', zone, slots: 6 });
-    return Object.assign(server, { record, isAffected: index === 0 });
+
+  const crashes = [];
+  /** Requests with the part that reached a server: `{ id, server, at }`. */
+  const reached = [];
+  class Model extends StreamWorker {
+    async handle(request, response, body, attemptId) {
+      const parts = String(request.headers['citronstage-prompt-prefix']).split(',').map((part) => part.split(':')[0]);
+      if (!parts.slice(0, -1).includes(BAD_PART)) {
+        await super.handle(request, response, body, attemptId);
+        return;
+      }
+      reached.push({ id: attemptId, server: this.id, at: performance.now() });
+      record.line(`${this.id}: runs ${attemptId}, which has the part`);
+      await sleep(this.firstMs);
+      if (!this.isUp) return;
+      response.writeHead(200, { 'Content-Type': 'text/event-stream', 'Citronstage-Response-Seal': `${this.id}.${attemptId}` });
+      response.write('id: 1\nda');
+      await sleep(5);
+      if (this.isUp) this.crash();
+    }
+
+    crash() {
+      this.isUp = false;
+      crashes.push(performance.now());
+      record.line(`${this.id}: crashes (crash ${crashes.length})`);
+      this.stop();
+      setTimeout(async () => {
+        this.born = Date.now();
+        this.sequence = 0;
+        await this.start(this.port);
+        this.isUp = true;
+        record.line(`${this.id}: is back`);
+      }, DOWN_MS);
+    }
+  }
+  const servers = Array.from({ length: MODEL_SERVERS }, (_, index) => {
+    const server = new Model({ store, id: `i-model${index + 1}`, service: 'citron-pool', slots: 48 });
+    return Object.assign(server, { isUp: true, firstMs: 120, events: 17, gapMs: 20 });
   });
   await Promise.all(servers.map((server) => server.start()));
   onEnd(() => servers.forEach((server) => server.stop()));
-  const [front] = await startFronts({ count: 1, store, folder, record, endFronts, zones: ZONES });
+  const fronts = await startFronts({ count: FRONTS, store, folder, record, endFronts });
   await sleep(1500);
 
   const startedAt = performance.now();
-  const poll = setInterval(async () => {
-    const isReady = await front.isReady();
-    if (!isReady) record.line(`${front.name}: no 200 to GET /ready within half a second`);
-  }, 1000);
-  onEnd(() => clearInterval(poll));
-  const answers = [];
+  const sentAt = new Map();
+  const statuses = { sound: {}, bad: {} };
   let count = 0;
-  const request = async (isClaim) => {
+  const request = async (kind, subject) => {
     count += 1;
     const id = `a${String(count).padStart(8, '0')}`;
-    const connection = new Connection(front.address);
-    // A second past the deadline the client closes, so that the script sees late answers too.
-    const timer = setTimeout(() => connection.close(), DEADLINE_MS + 1000);
-    const answer = await connection.send({
-      method: isClaim ? 'POST' : 'GET',
-      path: isClaim ? '/claims/2f' : '/orders/2f',
-      body: isClaim ? 'x'.repeat(600) : '',
+    const parts = kind === 'bad' ? `${BAD_PART}:800,t${subject}:410,p${id}:250` : `s${subject}:800,t${count % 40}:410,p${id}:250`;
+    sentAt.set(id, performance.now());
+    const connection = new Connection(fronts[count % FRONTS].address);
+    const { status, isWhole } = await connection.send({
+      path: '/plan/2f',
+      body: 'x'.repeat(500),
       headers: {
-        Host: 'orders.example', 'Citronstage-Attempt-Id': id, 'Citronstage-Deadline-Ms': String(DEADLINE_MS),
-        Authorization: `Token ${KEY}`,
+        Host: 'plan.example', 'Citronstage-Attempt-Id': id, 'Citronstage-Model': 'm',
+        'Citronstage-Token-Counts': '1460,51', 'Citronstage-Prompt-Prefix': parts,
+        'Citronstage-Deadline-Ms': String(TIMEOUT_MS), Authorization: `Token ${KEY}`,
       },
     });
-    clearTimeout(timer);
     connection.close();
-    answers.push({ ...answer, id, isClaim });
+    const name = `${status}${isWhole ? '' : ' cut'}`;
+    statuses[kind][name] = (statuses[kind][name] ?? 0) + 1;
+    if (kind === 'bad') record.line(`request ${id} with the part: answered ${name}`);
   };
   const pending = [];
-  if (hasTrouble) {
-    setTimeout(() => {
-      isFaulty = true;
-      record.line(`garble at ${servers[0].id}: one answer in ${ONE_IN}, for ${FAULT_S} s`);
-    }, FAULT_AT_S * 1000);
-    setTimeout(() => {
-      isFaulty = false;
-    }, (FAULT_AT_S + FAULT_S) * 1000);
-  }
-  for (let turn = 0; performance.now() < startedAt + LOAD_S * 1000; turn += 1) {
-    pending.push(request(turn % 3 !== 0));
-    await sleep(1000 / REQUESTS_PER_S);
+  const groups = [...GROUP_AT_S];
+  while (performance.now() < startedAt + LOAD_S * 1000) {
+    pending.push(request('sound', count % 12));
+    if (performance.now() >= startedAt + (groups[0] ?? Infinity) * 1000) {
+      groups.shift();
+      if (hasTrouble) {
+        record.line(`${GROUP_SIZE} callers send requests with the part`);
+        for (let caller = 0; caller < GROUP_SIZE; caller += 1) pending.push(request('bad', caller));
+      }
+    }
+    await sleep(1000 / SOUND_PER_S);
   }
   await Promise.all(pending);
-
-  const unanswered = answers.filter(({ status, sentAt, endedAt }) => status === 0 || endedAt - sentAt > TIMEOUT_MS);
-  const late = unanswered.filter(
-    ({ status, sentAt, endedAt }) => status === 0 || endedAt - sentAt > TIMEOUT_MS + HALF_A_SECOND_MS,
+  record.line(`answers by status: ${JSON.stringify(statuses)}; ${crashes.length} crashes`);
+  const boundAt = (crashes[4] ?? Infinity) + BOUNDS.contact_ms;
+  const late = reached.filter(({ id }) => sentAt.get(id) > boundAt);
+  late.forEach(({ id, server, at }) =>
+    record.line(`BUDGET: ${id} with the part reached ${server} ${((at - crashes[4]) / 1000).toFixed(3)} s after the fifth crash`),
   );
-  late.forEach(({ id, isClaim, status, sentAt, endedAt }) =>
-    record.line(
-      `${id} (${isClaim ? 'job-claim' : 'order-read'}), sent at ${((sentAt - startedAt) / 1000).toFixed(3)} s of the load: ` +
-        `${status === 0 ? 'no answer' : `answered ${status}`} after ${Math.round(endedAt - sentAt)} ms`,
-    ),
-  );
-  const statuses = {};
-  answers.forEach(({ status }) => {
-    statuses[status] = (statuses[status] ?? 0) + 1;
-  });
-  record.line(`answers by status (0: none): ${JSON.stringify(statuses)}`);
-  record.line(`CONFIG: ${unanswered.length} requests unanswered at timeout_ms, ${late.length} of them half a second later`);
-  // More than half, and eight at least, so that a single slow answer of this machine doesn't count.
-  return late.length >= 8 && late.length * 2 > unanswered.length ? late.length : 0;
+  return late.length > 3 ? late.length : 0;
 });
