serving: a planned stop refuses requests that could outlast it

Cause: a stopping process accepted every request until it ended its remaining ones, whatever time the request might take.

Change: the deadline of a request that has been read completely is compared with the end of the stop before anything of it runs.

--- a/src/entry/CallerApi.ts
+++ b/src/entry/CallerApi.ts
@@ -29,6 +29,8 @@
   readonly telemetry: EntryTelemetry;
   /** @returns expected duration of a plan, to refuse requests that can't finish in time. */
   readonly estimate: (plan: PipelinePlan) => PathEstimate;
+  /** @returns time at which a shutdown cuts requests off, on the clock; Infinity without one */
+  readonly stopsAt: () => number;
 }
 
 /** HTTP API for callers: `POST /v1/pipelines/{template}/requests`. */
@@ -103,6 +105,9 @@
     const snapshot = configuration.snapshot();
     const checked = validateRequest(account.value, template, request.headers, body.text, snapshot);
     if (!checked.ok) return checked.failure;
+    if (arrivedAt + checked.value.deadlineMs > this.options.stopsAt()) {
+      return refuse('shutting-down', 'this entry is shutting down').failure;
+    }
     const infeasible = this.checkFeasible(checked.value);
     if (infeasible) return infeasible;
     await this.execute(checked.value, callerResponse, arrivedAt, snapshot.revision);
--- a/src/entry/Entry.test.ts
+++ b/src/entry/Entry.test.ts
@@ -136,6 +136,26 @@
   assert.equal((await response).status, 200);
 });
 
+test('shutdown refuses a request whose deadline is later than its end', async () => {
+  // Guards against requests that are accepted during a shutdown, run, and are cut off by its end.
+  const agent = await startAgent('a', runChain);
+  const { url, entry } = await start({
+    agents: [agent],
+    templates: [CHAIN],
+    deadlineMs: 5000,
+    shutdown: { balancerDelayMs: 500, deadlineMs: 3000 },
+  });
+  cleanUps.pop();
+  const stopped = entry.stop();
+  const { status, body } = await post(url, 'chain', { text: 'x' });
+  assert.equal(status, 503);
+  assert.equal(errorOf(body).outcome, 'not-run');
+  assert.equal(agent.runs.length, 0);
+  const short = JSON.stringify({ input: { text: 'x' }, timeoutMs: 1000 });
+  assert.equal((await post(url, 'chain', short)).status, 200);
+  await stopped;
+});
+
 test('a request survives a restart of all servers of its pool', async () => {
   const agent = await startAgent('a', runChain);
   const { url } = await start({ agents: [agent], templates: [CHAIN] });
--- a/src/entry/Entry.ts
+++ b/src/entry/Entry.ts
@@ -72,6 +72,9 @@
 
   private stopping = false;
 
+  /** Time at which a shutdown cuts requests off, on the clock. */
+  private stopsAt = Infinity;
+
   private address: string;
 
   constructor(private readonly options: EntryOptions) {
@@ -119,6 +122,7 @@
       estimate: policy.feasibility
         ? ({ template, stages }) => estimateStages(this.router, template, stages)
         : () => ({ expectedMs: 0, waitMs: 0 }),
+      stopsAt: () => this.stopsAt,
     });
     const control = this.createControl();
     this.server = new EntryServer({
@@ -146,12 +150,14 @@
 
   /**
    * Shuts down without interrupting requests. Fails the readiness check and keeps serving until the
-   * load balancer has reacted, then closes the listener and waits for running requests.
+   * load balancer has reacted, then closes the listener and waits for running requests. Refuses
+   * requests whose deadline is later than the end of the shutdown.
    * @returns false if requests were still running at the shutdown deadline
    */
   async stop(): Promise<boolean> {
     const { shutdown } = this.options.settings;
     this.stopping = true;
+    this.stopsAt = this.options.clock.now() + shutdown.balancerDelayMs + shutdown.deadlineMs;
     await sleep(shutdown.balancerDelayMs);
     this.server.stopListening();
     const finished = await Promise.race([
--- a/src/entry/testing/fixtures.ts
+++ b/src/entry/testing/fixtures.ts
@@ -37,6 +37,7 @@
   readonly deadlineMs?: number;
   readonly table?: FakeTableStore;
   readonly id?: string;
+  readonly shutdown?: EntrySettings['shutdown'];
   /** File to which trace spans are written. */
   readonly traceFile?: string;
   /** @returns pool of an agent; by default, all agents are in the pool `pool`. */
@@ -172,7 +173,7 @@
     platform: { tableUrl: unusedUrl, objectUrl: unusedUrl, membershipUrl: unusedUrl },
     internalToken: INTERNAL_TOKEN,
     policy: options.policy ?? {},
-    shutdown: { balancerDelayMs: 0, deadlineMs: 3000 },
+    shutdown: options.shutdown ?? { balancerDelayMs: 0, deadlineMs: 3000 },
   });
 }
 
--- a/src/serving/Ingress.ts
+++ b/src/serving/Ingress.ts
@@ -29,8 +29,8 @@
 /** Retry-After before the first configuration, in ms; a process reads it in about a second. */
 const NO_CONFIGURATION_RETRY_MS = 1000;
 
-/** Retry-After of a process that has stopped, in ms: another one can serve the request at once. */
-const STOPPED_RETRY_MS = 0;
+/** Refusal of a process that stops. Another one can serve the request at once. */
+const STOPPING: ErrorResponse = { status: NOT_RUN_STATUS, reason: 'stopping', retryAfterMs: 0 };
 
 /** Connections waiting to be accepted; sized for bursts of callers that connect at once. */
 const LISTEN_BACKLOG = 1024;
@@ -57,6 +57,8 @@
   readonly metrics: ServingMetrics;
   readonly routeTable: () => RouteTable | undefined;
   readonly isStopping: () => boolean;
+  /** @returns time at which pending requests are ended by a stop, on the clock; Infinity without one */
+  readonly stopsAt: () => number;
   readonly serve: (request: CallerRequest) => Promise<void>;
 }
 
@@ -139,8 +141,7 @@
     const attributes = protocol.parseRequest(message.rawHeaders);
     const callerResponse = new CallerResponse(response, protocol, attributes.attemptId, isStopping);
     if (this.hasEnded) {
-      const retryAfterMs = STOPPED_RETRY_MS;
-      this.refuse(callerResponse, { status: NOT_RUN_STATUS, reason: 'stopping', retryAfterMs });
+      this.refuse(callerResponse, STOPPING, attributes.attemptId);
       return;
     }
     const routes = routeTable();
@@ -191,6 +192,11 @@
       routes.configuration.limits.bodyBytes,
     );
     if (!body || cancellation.isCancelled) return;
+    // A request that could outlast this process would be cut by its exit, even if it ran.
+    if (deadlineAt > this.services.stopsAt()) {
+      this.refuse(callerResponse, STOPPING, attributes.attemptId);
+      return;
+    }
     const id = `${this.nextId}`;
     this.nextId += 1;
     await this.services.serve({
--- a/src/serving/ServingProcess.ts
+++ b/src/serving/ServingProcess.ts
@@ -87,6 +87,9 @@
 
   private isStopping = false;
 
+  /** Time at which a stop ends the remaining requests, on the clock. */
+  private stopsAt = Infinity;
+
   /** Resolves when no request is left; undefined until {@link stop} is called. */
   private stopping: Promise<void> | undefined;
 
@@ -161,6 +164,7 @@
       metrics: servingMetrics,
       routeTable,
       isStopping: () => this.isStopping,
+      stopsAt: () => this.stopsAt,
       serve: (request) => runner.run(request),
     });
     this.directory.onRemoved((server) => {
@@ -293,16 +297,15 @@
     const wasReady = this.isReady;
     this.isStopping = true;
     const { clock, logger, settings } = this.options;
-    const startedAt = clock.now();
+    this.stopsAt = clock.now() + settings.shutdown.graceSeconds * 1000 - EXIT_MARGIN_MS;
     logger.info('stopping', { running: this.ingress.requestsRunning });
     this.peerServer.sendHeartbeat();
     this.membership
       .withdraw()
       .catch((error: unknown) => logger.warn('member row not removed', { error }));
-    const endsAt = startedAt + settings.shutdown.graceSeconds * 1000 - EXIT_MARGIN_MS;
     // The load balancer sends no connections to a process that was not ready, for example at start.
     if (wasReady) await sleep(BALANCER_STOP_DELAY_MS);
-    while (clock.now() < endsAt) {
+    while (clock.now() < this.stopsAt) {
       this.ingress.stopAccepting();
       if (this.ingress.requestsRunning === 0) break;
       await sleep(STOP_CHECK_INTERVAL_MS);
