crashing parts: groups of simultaneous requests are told from outages

Cause: crashes less than 200 ms apart counted as one, and three were needed, so that a group counted as one however many servers it ended.

Change: five crashes suffice, also at the same moment, if no response with the part was ever completed and responses to other requests were completed 1 s later. A moment only counts against a part that explains all of its crashes: outages also end servers without the part.

--- a/src/common/serving/CrashingParts.test.ts
+++ b/src/common/serving/CrashingParts.test.ts
@@ -72,6 +72,45 @@
     assert.equal(parts.findIn(['part']), undefined);
   });
 
+  it('are found after five crashes at the same moment once the servers serve other requests', () => {
+    // Guards against groups of simultaneous requests, of which each counted as one crash.
+    const { clock, parts, crash, complete } = createParts();
+    complete(0, ['system']);
+    for (let index = 0; index < 5; index += 1) crash(1000 + index, `s-${index}`, ['system', 'bad']);
+    complete(1500, ['system']);
+    assert.equal(parts.findIn(['system', 'bad']), undefined);
+    complete(2100, ['system']);
+    assert.equal(parts.findIn(['system', 'bad'])?.part, 'bad');
+    assert.equal(parts.findIn(['system']), undefined);
+    const restarted = new CrashingParts(clock);
+    restarted.merge(parts.evidenceAgainst('bad'));
+    assert.ok(restarted.findIn(['system', 'bad']));
+  });
+
+  it('are not assumed if all servers end at the same moment and no other request is served', () => {
+    const { clock, parts, crash, complete } = createParts();
+    const peer = new CrashingParts(clock);
+    complete(0, ['system']);
+    for (let index = 0; index < 10; index += 1)
+      crash(1000 + index, `s-${index}`, ['system', 'new']);
+    for (let at = 1100; at < 60_000; at += HEARTBEAT_INTERVAL_MS) {
+      const messages = [parts.evidence, peer.evidence];
+      clock.set(at + 20);
+      peer.merge(messages[0]!);
+      parts.merge(messages[1]!);
+    }
+    assert.equal(parts.findIn(['system', 'new']), undefined);
+  });
+
+  it('are cleared by a complete response after five simultaneous crashes', () => {
+    const { parts, crash, complete } = createParts();
+    for (let index = 0; index < 5; index += 1) crash(1000 + index, `s-${index}`, ['new']);
+    complete(2100, ['system']);
+    assert.ok(parts.findIn(['new']));
+    complete(2200, ['new']);
+    assert.equal(parts.findIn(['new']), undefined);
+  });
+
   it('are not assumed if one server loses its connections again and again', () => {
     const { parts, crash } = createParts();
     for (let index = 0; index < 10; index += 1) crash(index * 1000, 'server', ['part']);
@@ -188,45 +227,59 @@
   readonly soundRefused: number;
 }
 
+/** What a replayed load does besides sending sound requests. */
+interface Trouble {
+  /** Number of requests with the bad part to send now. */
+  readonly badRequests: (now: number) => number;
+  /** Whether half of the servers end now. */
+  readonly isOutage: (now: number) => boolean;
+}
+
 /**
- * Replays a series of requests with a bad part among sound ones that share all its other parts.
- * Each request runs for a while at a random server; a crash loses all requests at the server.
+ * Replays sound requests, and among them requests with a bad part that share all other parts with
+ * them. Each request runs for a while at a random server; a crash loses all requests at the server.
  * @param seed - seed of the load and of the size of the deployment
+ * @param createTrouble - creates what happens besides
  * @param refuses - whether processes refuse requests
  */
-function replaySeries(seed: number, refuses: boolean): ReplayedSeries {
+function replay(
+  seed: number,
+  createTrouble: (random: SeededRandom) => Trouble,
+  refuses: boolean,
+): ReplayedSeries {
   const random = new SeededRandom(seed);
   const pick = (count: number) => Math.floor(random.next() * count);
   const clock = new ManualClock();
   const processes = Array.from({ length: 1 + pick(8) }, () => new CrashingParts(clock));
   const servers = 4 + pick(20);
   const documents = 1 + pick(40);
-  const badShare = 0.02 + random.next() * 0.2;
+  const trouble = createTrouble(random);
   const crashTimes: number[] = [];
   const figures = { late: 0, soundRefused: 0 };
   const running = new Set<RunningRequest>();
-  const crash = ({ process, parts, server }: RunningRequest, now: number) => {
+  const endServer = (server: number, now: number) => {
     const name = `server-${server}-${crashTimes.length}`;
     crashTimes.push(now);
-    process.recordCrash(name, parts);
-    const others = [...running].filter((other) => other.server === server);
-    others.forEach((other) => {
-      running.delete(other);
+    const lost = [...running].filter((request) => request.server === server);
+    lost.forEach(({ process, parts, isBad }) => {
       // Half of the other requests at the server have not received an event yet.
-      if (random.next() < 0.5) other.process.recordCrash(name, other.parts);
+      if (isBad || random.next() < 0.5) process.recordCrash(name, parts);
     });
+    lost.forEach((request) => running.delete(request));
   };
   const end = (request: RunningRequest, now: number) => {
-    if (!running.delete(request)) return;
-    if (request.isBad) crash(request, now);
-    else request.process.recordCompletion(request.parts);
+    if (!running.has(request)) return;
+    if (request.isBad) endServer(request.server, now);
+    else {
+      running.delete(request);
+      request.process.recordCompletion(request.parts);
+    }
   };
-  const send = (now: number) => {
-    const isBad = now > 2000 && random.next() < badShare;
+  const send = (now: number, isBad: boolean, endsAt: number) => {
     const document = `document-${pick(documents)}`;
     const parts = isBad ? ['system', document, 'bad'] : ['system', document];
     const process = processes[pick(processes.length)]!;
-    const request = { endsAt: now + 100 + pick(900), server: pick(servers), process, parts, isBad };
+    const request = { endsAt, server: pick(servers), process, parts, isBad };
     if (refuses && process.findIn(parts)) figures.soundRefused += isBad ? 0 : 1;
     else {
       running.add(request);
@@ -238,19 +291,50 @@
     clock.set(now);
     [...running].filter(({ endsAt }) => endsAt <= now).forEach((request) => end(request, now));
     if (now % HEARTBEAT_INTERVAL_MS < STEP_MS) exchange(processes);
-    send(now);
+    if (trouble.isOutage(now)) {
+      for (let server = 0; server < servers; server += 2) endServer(server, now);
+    }
+    const badRequests = trouble.badRequests(now);
+    const groupEndsAt = now + 100 + pick(900);
+    for (let index = 0; index < badRequests; index += 1) send(now, true, groupEndsAt);
+    send(now, false, now + 100 + pick(900));
   }
   return { ...figures, crashes: crashTimes.length };
 }
 
+/** Single requests with the bad part, at random. */
+function createSeries(random: SeededRandom): Trouble {
+  const badShare = 0.02 + random.next() * 0.2;
+  return {
+    badRequests: (now) => (now > 2000 && random.next() < badShare ? 1 : 0),
+    isOutage: () => false,
+  };
+}
+
+/** Groups of requests with the bad part that are sent, and crash their servers, at the same moment. */
+function createGroups(random: SeededRandom): Trouble {
+  const size = 2 + Math.floor(random.next() * 10);
+  const intervalMs = STEP_MS * Math.round((CONTACT_MS + 1000 + random.next() * 1000) / STEP_MS);
+  return {
+    badRequests: (now) => (now > 0 && now % intervalMs === 0 ? size : 0),
+    isOutage: () => false,
+  };
+}
+
+/** Outages that end half of the servers at the same moment. */
+function createOutages(random: SeededRandom): Trouble {
+  const intervalMs = STEP_MS * Math.round((500 + random.next() * 3000) / STEP_MS);
+  return { badRequests: () => 0, isOutage: (now) => now > 2000 && now % intervalMs === 0 };
+}
+
 describe('a replayed series of requests with a part that crashes servers', () => {
   it('ends soon, and sound requests with the other parts are served', () => {
     let lateBefore = 0;
     fc.assert(
       fc.property(fc.integer({ min: 0, max: 100_000 }), (seed) => {
-        const before = replaySeries(seed, false);
+        const before = replay(seed, createSeries, false);
         lateBefore = Math.max(lateBefore, before.late);
-        const { crashes, late, soundRefused } = replaySeries(seed, true);
+        const { crashes, late, soundRefused } = replay(seed, createSeries, true);
         assert.ok(late <= MAX_LATE_REQUESTS, `${late} late, ${before.late} if none are refused`);
         assert.equal(soundRefused, 0);
         assert.ok(crashes <= before.crashes);
@@ -260,3 +344,29 @@
     assert.ok(lateBefore > MAX_LATE_REQUESTS);
   });
 });
+
+describe('replayed groups of simultaneous requests with a part that crashes servers', () => {
+  it('do not reach servers after the fifth crash, and sound requests are served', () => {
+    // Guards against groups of which each counts as one crash, however many servers it ends.
+    fc.assert(
+      fc.property(fc.integer({ min: 0, max: 100_000 }), (seed) => {
+        const { late, soundRefused } = replay(seed, createGroups, true);
+        assert.ok(late <= MAX_LATE_REQUESTS, `${late} late`);
+        assert.equal(soundRefused, 0);
+      }),
+      { numRuns: 60, seed: 5 },
+    );
+  });
+});
+
+describe('replayed outages of half of the servers', () => {
+  it('refuse no sound request', () => {
+    // Guards against parts in use that are taken for the cause of an outage.
+    fc.assert(
+      fc.property(fc.integer({ min: 0, max: 100_000 }), (seed) => {
+        assert.equal(replay(seed, createOutages, true).soundRefused, 0);
+      }),
+      { numRuns: 60, seed: 5 },
+    );
+  });
+});
--- a/src/common/serving/CrashingParts.ts
+++ b/src/common/serving/CrashingParts.ts
@@ -18,6 +18,8 @@
   crashes: z.array(CrashRecord),
   /** Time since the last complete response, in ms, for the parts of the crashes. */
   completed: z.record(z.string(), z.number().min(0)),
+  /** Time since the last complete response to any request, in ms; older versions send none. */
+  lastCompletionAgeMs: z.number().min(0).optional(),
 });
 export type CrashEvidence = z.infer<typeof CrashEvidence>;
 
@@ -40,6 +42,13 @@
   readonly parts: Set<string>;
 }
 
+/** The crashes that a part explains, in order. */
+interface ExplainedCrashes {
+  readonly all: readonly Crash[];
+  /** The first crash of each moment. */
+  readonly moments: readonly Crash[];
+}
+
 /** The last complete response to a request with a part. */
 interface Completion {
   /** On the clock, in ms. */
@@ -48,15 +57,28 @@
   readonly isOwn: boolean;
 }
 
-/** Number of crashes after which requests with a part are refused. */
+/** Number of crashes at different moments after which requests with a part are refused. */
 const MIN_CRASHES = 3;
 
 /**
- * Crashes that are closer together count as one, in ms: an outage that ends many servers at the same
+ * Crashes that are closer together are one moment, in ms: an outage that ends many servers at the same
  * moment says little about the requests that ran there.
  */
 const MIN_CRASH_INTERVAL_MS = 200;
 
+/**
+ * Number of crashes, also at the same moment, after which requests with a part are refused if no
+ * response with it was ever completed. A part that is in use elsewhere has such responses.
+ */
+const MIN_SIMULTANEOUS_CRASHES = 5;
+
+/**
+ * Time after simultaneous crashes at which responses to other requests must still be completed, in
+ * ms, before a part counts as their cause. Processes tell each other meanwhile which parts work, and
+ * an outage of all servers shows as one.
+ */
+const SETTLE_MS = 1000;
+
 /** Time for which a crash counts, in ms, and thus for which requests are refused. */
 const CRASH_LIFETIME_MS = 3_600_000;
 
@@ -81,7 +103,9 @@
  * Handles a series of such requests among sound ones that share their other parts. A crash is
  * explained by the part of the lost requests whose last complete response is the oldest, and only
  * as long as no response with that part is completed later. Parts that are in use elsewhere are
- * thereby cleared, also during the series. Evidence is exchanged with all processes, because each
+ * thereby cleared, also during the series. Requests of a group that arrive at the same moment crash
+ * their servers at the same moment, like an outage; they are told apart by the parts that have never
+ * worked although the servers do. Evidence is exchanged with all processes, because each
  * one sees only the requests that it sent itself.
  */
 export class CrashingParts {
@@ -93,6 +117,15 @@
 
   private found = new Map<string, CrashingPart>();
 
+  /** Time of the last complete response to any request, also of peers, on the clock. */
+  private lastCompletionAt = -Infinity;
+
+  /** Same for requests of this process only, which alone is passed on: the ages of others would drift. */
+  private lastOwnCompletionAt = -Infinity;
+
+  /** Whether further complete responses may show that a part caused simultaneous crashes. */
+  private isUndecided = false;
+
   private readonly foundEmitter = new Emitter<CrashingPart>();
 
   private readonly clearedEmitter = new Emitter<CrashingPart>();
@@ -114,7 +147,7 @@
   /** Evidence to send to peers. */
   get evidence(): CrashEvidence {
     this.removeExpired();
-    return this.toEvidence([...this.crashes.values()]);
+    return this.toEvidence([...this.crashes.values()], this.lastOwnCompletionAt);
   }
 
   /**
@@ -123,10 +156,12 @@
    *   to be sound
    */
   evidenceAgainst(part: string): CrashEvidence {
-    const explained = this.explainedCrashes().get(part) ?? [];
+    const explained = this.explainedCrashes().get(part);
     const parts = new Set(this.found.get(part)?.suspects);
-    const crashes = explained.slice(-MIN_CRASHES).map((crash) => ({ ...crash, parts }));
-    return { ...this.toEvidence(crashes), completed: {} };
+    const crashes = explained
+      ? decisiveCrashes(explained).map((crash) => ({ ...crash, parts }))
+      : [];
+    return { ...this.toEvidence(crashes, this.lastCompletionAt), completed: {} };
   }
 
   /**
@@ -157,19 +192,22 @@
   recordCompletion(partIds: readonly string[]): void {
     const now = this.clock.now();
     const cleared = partIds.filter((id) => this.setCompleted(id, { at: now, isOwn: true }));
-    if (cleared.length > 0) this.update();
+    this.lastCompletionAt = now;
+    this.lastOwnCompletionAt = now;
+    if (cleared.length > 0 || this.isUndecided) this.update();
   }
 
   /** Adds the evidence of a peer or of the store. */
-  merge({ crashes, completed }: CrashEvidence): void {
+  merge({ crashes, completed, lastCompletionAgeMs = Infinity }: CrashEvidence): void {
     const now = this.clock.now();
+    this.lastCompletionAt = Math.max(this.lastCompletionAt, now - lastCompletionAgeMs);
     const cleared = Object.entries(completed).filter(([id, ageMs]) =>
       this.setCompleted(id, { at: now - ageMs, isOwn: false }),
     );
     const added = crashes
       .slice(0, MAX_CRASHES)
       .filter(({ server, ageMs, parts }) => this.addCrash(server, now - ageMs, parts));
-    if (cleared.length > 0 || added.length > 0) this.update();
+    if (cleared.length > 0 || added.length > 0 || this.isUndecided) this.update();
   }
 
   /** @returns whether the crash is new or has further parts */
@@ -217,11 +255,14 @@
     const explained = this.explainedCrashes();
     const found = new Map(
       [...explained]
-        .filter(([, crashes]) => crashes.length >= MIN_CRASHES)
+        .filter(([part, crashes]) => this.isCause(part, crashes))
         .map(([part, crashes]) => [part, this.toCrashingPart(part, crashes)] as const),
     );
     const previous = this.found;
     this.found = found;
+    this.isUndecided = [...explained].some(
+      ([part, { all }]) => !found.has(part) && this.isSuspectOfGroup(part, all),
+    );
     this.limitCrashes(explained);
     previous.forEach((part, id) => !found.has(id) && this.clearedEmitter.fire(part));
     found.forEach((part, id) => {
@@ -230,20 +271,43 @@
     });
   }
 
-  /** @returns crashes that the part explains, sufficiently far apart, by part id */
-  private explainedCrashes(): Map<string, Crash[]> {
-    const explained = new Map<string, Crash[]>();
+  /** @returns crashes that each part explains, by part id */
+  private explainedCrashes(): Map<string, ExplainedCrashes> {
+    const explained = new Map<string, { all: Crash[]; moments: Crash[] }>();
+    this.moments().forEach((moment) => {
+      // An outage also ends servers at which no request with the part was lost.
+      const suspects = commonSuspects(moment.map((crash) => this.suspectsOf(crash)));
+      suspects.forEach((part) => {
+        const { all, moments } = explained.get(part) ?? { all: [], moments: [] };
+        explained.set(part, { all: [...all, ...moment], moments: [...moments, moment[0]!] });
+      });
+    });
+    return explained;
+  }
+
+  /** @returns crashes in order, those of the same moment together */
+  private moments(): Crash[][] {
+    const moments: Crash[][] = [];
     [...this.crashes.values()]
       .sort((left, right) => left.at - right.at)
-      .forEach((crash) =>
-        this.suspectsOf(crash).forEach((part) => {
-          const crashes = explained.get(part) ?? [];
-          const lastAt = crashes.at(-1)?.at ?? -Infinity;
-          if (crash.at - lastAt >= MIN_CRASH_INTERVAL_MS) crashes.push(crash);
-          explained.set(part, crashes);
-        }),
-      );
-    return explained;
+      .forEach((crash) => {
+        const moment = moments.at(-1);
+        if (moment && crash.at - moment[0]!.at < MIN_CRASH_INTERVAL_MS) moment.push(crash);
+        else moments.push([crash]);
+      });
+    return moments;
+  }
+
+  /** Whether the crashes that a part explains suffice to refuse requests with it. */
+  private isCause(part: string, { all, moments }: ExplainedCrashes): boolean {
+    if (moments.length >= MIN_CRASHES) return true;
+    const lastCrashAt = all.at(-1)?.at ?? Infinity;
+    return this.isSuspectOfGroup(part, all) && this.lastCompletionAt - lastCrashAt >= SETTLE_MS;
+  }
+
+  /** Whether requests with the part may have crashed several servers at the same moment. */
+  private isSuspectOfGroup(part: string, crashes: readonly Crash[]): boolean {
+    return crashes.length >= MIN_SIMULTANEOUS_CRASHES && !this.completions.has(part);
   }
 
   /** @returns the parts whose last complete response is the oldest, if it precedes the crash */
@@ -252,23 +316,23 @@
     return [...parts].filter((id) => this.lastCompletion(id) === oldest && oldest <= at);
   }
 
-  private toCrashingPart(part: string, crashes: readonly Crash[]): CrashingPart {
-    const suspects = crashes
-      .map((crash) => this.suspectsOf(crash))
-      .reduce((common, next) => common.filter((id) => next.includes(id)));
+  private toCrashingPart(part: string, explained: ExplainedCrashes): CrashingPart {
     return {
       part,
-      suspects,
-      crashes: crashes.length,
-      endsAt: crashes.at(-MIN_CRASHES)!.at + CRASH_LIFETIME_MS,
+      suspects: commonSuspects(explained.all.map((crash) => this.suspectsOf(crash))),
+      crashes: explained.all.length,
+      endsAt: decisiveCrashes(explained)[0]!.at + CRASH_LIFETIME_MS,
     };
   }
 
-  private limitCrashes(explained: ReadonlyMap<string, readonly Crash[]>): void {
+  private limitCrashes(explained: ReadonlyMap<string, ExplainedCrashes>): void {
     const excess = this.crashes.size - MAX_CRASHES;
     if (excess <= 0) return;
     const needed = new Set(
-      [...this.found.keys()].flatMap((part) => explained.get(part)?.slice(-MIN_CRASHES) ?? []),
+      [...this.found.keys()].flatMap((part) => {
+        const crashes = explained.get(part);
+        return crashes ? decisiveCrashes(crashes) : [];
+      }),
     );
     [...this.crashes.values()]
       .sort((left, right) => left.at - right.at)
@@ -281,7 +345,7 @@
     return this.completions.get(part)?.at ?? -Infinity;
   }
 
-  private toEvidence(crashes: readonly Crash[]): CrashEvidence {
+  private toEvidence(crashes: readonly Crash[], lastCompletionAt: number): CrashEvidence {
     const now = this.clock.now();
     const parts = new Set(crashes.flatMap((crash) => [...crash.parts]));
     const completed = [...parts]
@@ -294,6 +358,7 @@
         parts: [...ids],
       })),
       completed: Object.fromEntries(completed),
+      ...(lastCompletionAt > -Infinity && { lastCompletionAgeMs: now - lastCompletionAt }),
     };
   }
 }
@@ -306,6 +371,19 @@
   return parts.slice(0, -1).map(({ id }) => id);
 }
 
+/** @returns the parts that are in all lists */
+function commonSuspects(lists: readonly (readonly string[])[]): string[] {
+  const [first = [], ...others] = lists;
+  return first.filter((id) => others.every((list) => list.includes(id)));
+}
+
+/** @returns the latest crashes that suffice to refuse requests with the part that explains them */
+function decisiveCrashes({ all, moments }: ExplainedCrashes): readonly Crash[] {
+  return moments.length >= MIN_CRASHES
+    ? moments.slice(-MIN_CRASHES)
+    : all.slice(-MIN_SIMULTANEOUS_CRASHES);
+}
+
 function isTrackable(partId: string): boolean {
   return partId.length > 0 && partId.length <= MAX_PART_LENGTH;
 }
--- a/src/serving/CrashingPartTable.ts
+++ b/src/serving/CrashingPartTable.ts
@@ -26,6 +26,8 @@
       parts: z.array(z.string()),
     }),
   ),
+  /** Unix time of the last complete response to any request, in ms; older versions write none. */
+  lastCompletionAt: z.number().optional(),
 });
 type StoredPart = z.infer<typeof StoredPart>;
 
@@ -98,13 +100,19 @@
         return;
       }
       this.stored.set(key, row.suspects.join());
+      // The clocks of processes differ.
+      const ageMs = (at: number) => Math.max(0, now - at);
       const crashes = row.crashes.map(({ server, at, parts }) => ({
         server,
         parts,
-        // The clocks of processes differ.
-        ageMs: Math.max(0, now - at),
+        ageMs: ageMs(at),
       }));
-      crashingParts.merge({ crashes, completed: {} });
+      const { lastCompletionAt } = row;
+      crashingParts.merge({
+        crashes,
+        completed: {},
+        ...(lastCompletionAt !== undefined && { lastCompletionAgeMs: ageMs(lastCompletionAt) }),
+      });
     });
   }
 
@@ -145,10 +153,11 @@
     const found = crashingParts.parts.get(part);
     if (!found) return undefined;
     const now = clock.wallTime();
-    const { crashes } = crashingParts.evidenceAgainst(part);
+    const { crashes, lastCompletionAgeMs } = crashingParts.evidenceAgainst(part);
     return {
       suspects: [...found.suspects],
       crashes: crashes.map(({ server, ageMs, parts }) => ({ server, at: now - ageMs, parts })),
+      ...(lastCompletionAgeMs !== undefined && { lastCompletionAt: now - lastCompletionAgeMs }),
     };
   }
 }
