serving: a slow server is given up only for another one

Cause: each server was given up after that time, also the last one that the request could be sent to, without a look at other servers, the retry budget or the time left.

Change: after that time the request moves only if another healthy server may get it, the budget and the route allow it, and as much time is left as it has waited. Otherwise it waits on and asks again. Plain calls and streams, before their first event and between events.

--- a/src/common/serving/SlidingWindowBudget.ts
+++ b/src/common/serving/SlidingWindowBudget.ts
@@ -48,15 +48,19 @@
     this.currentInterval().requests += 1;
   }
 
+  /** Whether a retry is allowed now. */
+  get canSpend(): boolean {
+    const { requests, retries } = this.totals();
+    const slack = this.allowance.slack / Math.max(1, this.processes());
+    return retries + 1 <= USABLE_SHARE * (this.allowance.ratio * requests + slack);
+  }
+
   /**
    * Charges a retry to the budget if it is allowed.
    * @returns whether the retry is allowed
    */
   trySpend(): boolean {
-    const { requests, retries } = this.totals();
-    const slack = this.allowance.slack / Math.max(1, this.processes());
-    const allowed = USABLE_SHARE * (this.allowance.ratio * requests + slack);
-    if (retries + 1 > allowed) return false;
+    if (!this.canSpend) return false;
     this.currentInterval().retries += 1;
     return true;
   }
--- a/src/serving/BufferedCall.ts
+++ b/src/serving/BufferedCall.ts
@@ -7,6 +7,7 @@
 
 import type { Cancellation } from '../common/events/Cancellation.js';
 import type { Disposable } from '../common/events/Types.js';
+import type { Failover } from './FailoverPolicy.js';
 
 /** A complete response, or the reason for the failure. */
 export type BufferedResponse =
@@ -22,6 +23,8 @@
 export interface CallOptions {
   /** Time-out of the whole exchange, including connecting, in ms. */
   readonly timeoutMs: number;
+  /** Ends the exchange sooner if another server may serve the request instead. */
+  readonly failover?: Failover;
   /** Aborts the exchange. */
   readonly cancellation?: Cancellation;
   /** Called when the head of the response has arrived. */
@@ -44,9 +47,11 @@
     const head = { status: 0, headers: [] as string[] };
     let exchange: Exchange | undefined;
     let timer: NodeJS.Timeout | undefined;
+    let failoverTimer: NodeJS.Timeout | undefined;
     let subscription: Disposable | undefined;
     const settle = (response: BufferedResponse) => {
       clearTimeout(timer);
+      clearInterval(failoverTimer);
       subscription?.dispose();
       body.release();
       resolve(response);
@@ -78,6 +83,14 @@
       () => abort(`no whole response in ${options.timeoutMs} ms`),
       options.timeoutMs,
     );
+    const { failover } = options;
+    if (failover) {
+      let waitedMs = 0;
+      failoverTimer = setInterval(() => {
+        waitedMs += failover.firstAfterMs;
+        if (failover.mayMove(waitedMs)) abort(`no whole response in ${waitedMs} ms`);
+      }, failover.firstAfterMs);
+    }
     subscription = options.cancellation?.onCancelled(() => abort('cancelled'));
   });
 }
--- a/src/serving/BufferedForwarder.ts
+++ b/src/serving/BufferedForwarder.ts
@@ -3,6 +3,7 @@
 import { bufferedCall } from './BufferedCall.js';
 import { isRetryable, type CallerRequest } from './CallerRequest.js';
 import type { BackendConnections } from './BackendConnections.js';
+import type { Failover } from './FailoverPolicy.js';
 import {
   isRefusal,
   isServerError,
@@ -25,7 +26,8 @@
  * @param request - caller's request
  * @param server - backend server
  * @param options - headers to send
- * @param timeoutMs - time-out for this server, in ms
+ * @param timeoutMs - time to the deadline of the request, in ms
+ * @param failover - when the request moves to another server; undefined for one that must not
  * @returns how forwarding ended
  */
 export async function forwardBuffered(
@@ -34,6 +36,7 @@
   server: BackendServer,
   options: ForwardOptions,
   timeoutMs: number,
+  failover?: Failover,
 ): Promise<ForwardOutcome> {
   const { connections, protocol } = services;
   // An unsafe call is not aborted when its caller leaves: its effects can't be undone.
@@ -49,6 +52,7 @@
     },
     {
       timeoutMs,
+      ...(failover && { failover }),
       ...(cancellation && { cancellation }),
       ...(options.onHead && { onHead: options.onHead }),
     },
--- a/src/serving/RequestRunner.ts
+++ b/src/serving/RequestRunner.ts
@@ -6,11 +6,12 @@
 import type { Logger } from '../telemetry/Logger.js';
 import { isRetryable, type CallerRequest } from './CallerRequest.js';
 import { NOT_RUN_STATUS, UNKNOWN_OUTCOME_STATUS } from './CallerResponse.js';
+import { canFailOver, FailoverPolicy, MAX_SEND_ATTEMPTS } from './FailoverPolicy.js';
 import type { ForwardOptions, ForwardOutcome } from './ForwardOutcome.js';
 import { forwardBuffered, type ForwardServices } from './BufferedForwarder.js';
 import type { StageResults, StageRunner } from './StageRunner.js';
 import { MIN_FIRST_EVENT_MS } from './StageRunner.js';
-import { StreamForwarder, type StreamTimeouts } from './StreamForwarder.js';
+import { StreamForwarder } from './StreamForwarder.js';
 import type { PeerView } from './peers/PeerView.js';
 import { ForwardProgress } from './ForwardProgress.js';
 import type { PromptGuard } from './PromptGuard.js';
@@ -20,9 +21,6 @@
 import type { ServerSelection } from './ServerSelection.js';
 import type { ServingMetrics } from './ServingMetrics.js';
 
-/** Maximum number of attempts to send one request, including those that fail to connect. */
-const MAX_SEND_ATTEMPTS = 6;
-
 /** Status with which a server reports that the stage results in a request's inputs are missing. */
 const INPUTS_MISSING_STATUS = 409;
 
@@ -38,16 +36,6 @@
 /** Retry-After if servers at capacity refused the request, in ms. */
 const FULL_RETRY_MS = 200;
 
-/**
- * A retryable request is sent to another server if there is no response (for streams: no first
- * event) within this multiple of the route's latency objective.
- */
-const RESPONSE_TIMEOUT_FACTOR = 2.5;
-const MIN_RESPONSE_TIMEOUT_MS = 400;
-
-/** A resumable stream moves to another server after this multiple of the longest event gap. */
-const EVENT_GAP_TIMEOUT_FACTOR = 5;
-
 /** Dependencies of {@link RequestRunner}. */
 export interface RequestRunnerServices extends ForwardServices {
   readonly logger: Logger;
@@ -95,8 +83,11 @@
 
   private readonly log: RequestLog;
 
+  private readonly failoverPolicy: FailoverPolicy;
+
   constructor(private readonly services: RequestRunnerServices) {
     this.log = new RequestLog(services.logger, services.clock);
+    this.failoverPolicy = new FailoverPolicy(services);
   }
 
   /** Processes one request until its final response is sent or its caller has left. */
@@ -275,11 +266,11 @@
         responseProgress.recordEvent();
         markPrefilled();
         // A stream that can resume at another server must be able to read its inputs there.
-        if (!this.canFailOver(request)) release();
+        if (!canFailOver(request)) release();
       },
     };
     try {
-      const outcome = await this.send(request, server, options);
+      const outcome = await this.send(request, server, options, progress);
       this.recordOutcome(server, outcome);
       this.services.promptGuard.recordOutcome(request, server, outcome, responseProgress);
       return outcome;
@@ -293,30 +284,14 @@
     request: CallerRequest,
     server: BackendServer,
     options: ForwardOptions,
+    progress: ForwardProgress,
   ): Promise<ForwardOutcome> {
-    const { route } = request;
-    const remainingMs = request.deadlineAt - this.services.clock.now();
-    const responseTimeoutMs = Math.max(
-      MIN_RESPONSE_TIMEOUT_MS,
-      route.objectiveMs * RESPONSE_TIMEOUT_FACTOR,
-    );
-    const canFailOver = this.canFailOver(request);
-    if (route.kind !== 'streaming') {
-      const timeoutMs = canFailOver ? Math.min(responseTimeoutMs, remainingMs) : remainingMs;
-      return forwardBuffered(this.services, request, server, options, timeoutMs);
+    const failover = this.failoverPolicy.failoverOf(request, server, progress);
+    if (request.route.kind === 'streaming') {
+      return new StreamForwarder(this.services, request, options, failover).forward(server);
     }
-    const timeouts: StreamTimeouts = canFailOver
-      ? {
-          firstEventMs: responseTimeoutMs,
-          nextEventMs: (route.maxEventGapMs ?? responseTimeoutMs) * EVENT_GAP_TIMEOUT_FACTOR,
-        }
-      : {};
-    return new StreamForwarder(this.services, request, options, timeouts).forward(server);
-  }
-
-  /** Whether the request may run on a second server. */
-  private canFailOver(request: CallerRequest): boolean {
-    return isRetryable(request) && request.route.maxServers > 1;
+    const remainingMs = request.deadlineAt - this.services.clock.now();
+    return forwardBuffered(this.services, request, server, options, remainingMs, failover);
   }
 
   private forwardOptions(
--- a/src/serving/ServerSelection.ts
+++ b/src/serving/ServerSelection.ts
@@ -61,6 +61,17 @@
     });
   }
 
+  /**
+   * @param service - service of backend servers
+   * @param triedServerIds - servers that do not count
+   * @returns whether another server without too many recent failures may get a request now
+   */
+  hasOther(service: string, triedServerIds: ReadonlySet<string>): boolean {
+    const { directory, records, statements } = this.services;
+    const usable = directory.usable(service).filter((server) => statements.mayRequest(server));
+    return records.healthy(usable).some(({ id }) => !triedServerIds.has(id));
+  }
+
   /**
    * @param service - service of backend servers
    * @returns time until one of its servers may get a request within its limit and after its pause,
--- a/src/serving/StreamForwarder.ts
+++ b/src/serving/StreamForwarder.ts
@@ -3,6 +3,7 @@
 import type { ResponseBuffer } from '../common/response/ResponseBuffer.js';
 import type { BackendServer } from '../common/serving/ServingConfiguration.js';
 import { isRetryable, type CallerRequest } from './CallerRequest.js';
+import type { Failover } from './FailoverPolicy.js';
 import {
   isRefusal,
   isServerError,
@@ -21,14 +22,6 @@
 
 const LINE_END = 0x0a;
 
-/** Time-outs after which a stream that can resume at another server is aborted. */
-export interface StreamTimeouts {
-  /** Time to the first event, in ms; undefined to wait until the deadline of the request. */
-  readonly firstEventMs?: number;
-  /** Time between two events, in ms; undefined to wait until the deadline of the request. */
-  readonly nextEventMs?: number;
-}
-
 /** Forwards the event stream of one backend server to the caller, event by event. */
 export class StreamForwarder implements ExchangeListener {
   private parser: EventParser | undefined;
@@ -64,13 +57,13 @@
    * @param services - connections and protocol
    * @param request - caller's request
    * @param options - headers to send and the event after which the stream resumes
-   * @param timeouts - time-outs; without them only the deadline of the request applies
+   * @param failover - when the stream moves to another server; undefined to wait until the deadline
    */
   constructor(
     private readonly services: ForwardServices,
     private readonly request: CallerRequest,
     private readonly options: ForwardOptions,
-    private readonly timeouts: StreamTimeouts,
+    private readonly failover?: Failover,
   ) {
     this.lastEventId = options.lastEventId;
     this.hasForwardedEvents = request.response.hasStarted;
@@ -103,7 +96,7 @@
         });
         return;
       }
-      this.restartTimer(this.timeouts.firstEventMs);
+      this.restartTimer(this.failover?.firstAfterMs);
       this.subscription = request.cancellation.onCancelled(() =>
         this.finish({ kind: 'cancelled' }, true),
       );
@@ -159,7 +152,7 @@
     this.hasReceivedEvents = true;
     if (this.isDuplicate(id)) return;
     // Comments and repeated events are no progress: a stalled server may keep sending them.
-    if (hasData) this.restartTimer(this.timeouts.nextEventMs);
+    if (hasData) this.restartTimer(this.failover?.nextAfterMs);
     this.lastEventId = id ?? this.lastEventId;
     const { response } = this.request;
     if (!this.hasForwardedEvents) response.start(this.status, this.headers);
@@ -208,13 +201,17 @@
   }
 
   private restartTimer(timeoutMs: number | undefined): void {
-    clearTimeout(this.timer);
+    clearInterval(this.timer);
     if (timeoutMs === undefined) return;
-    this.timer = setTimeout(() => this.abort(`no event in ${timeoutMs} ms`), timeoutMs);
+    let waitedMs = 0;
+    this.timer = setInterval(() => {
+      waitedMs += timeoutMs;
+      if (this.failover?.mayMove(waitedMs)) this.abort(`no event in ${waitedMs} ms`);
+    }, timeoutMs);
   }
 
   private finish(outcome: ForwardOutcome, mustAbort: boolean): void {
-    clearTimeout(this.timer);
+    clearInterval(this.timer);
     this.subscription?.dispose();
     this.buffer?.release();
     if (mustAbort) this.exchange?.abort();
