store: long polls of a fleet end one after the other

Cause: each change completes the polls of all processes at the same moment, and no wait was shorter than 0.6 of the longest, which grows with the fleet. No process noticed the silence before.

Change: the first wait after a change is a share of the period that the rank of the process determines, each further one a whole period. One poll of the fleet ends each 750 ms, with as many calls as one process makes alone.

Evidence: SilentStore.test with nine processes failed before. The test of the number of reads compares the second wait: the first one depends on the rank now.

--- a/src/serving/ServingProcess.ts
+++ b/src/serving/ServingProcess.ts
@@ -192,7 +192,7 @@
     this.followers = new StoreFollowers({
       createFeed: () => options.createFeed(settings.store),
       logger,
-      processCount: () => this.peerView.processCount,
+      fleet: () => this.peerView.fleetPosition,
       random: options.random,
       storeEra: this.storeEra,
     });
--- a/src/serving/StoreFollowers.ts
+++ b/src/serving/StoreFollowers.ts
@@ -4,7 +4,7 @@
 /** Dependencies of {@link StoreFollowers}. */
 export interface StoreFollowersServices extends Pick<
   TableFollowerOptions,
-  'logger' | 'processCount' | 'random' | 'storeEra'
+  'logger' | 'fleet' | 'random' | 'storeEra'
 > {
   /** Opens a connection to the store. */
   readonly createFeed: () => RowFeed;
@@ -28,15 +28,15 @@
   /**
    * Follows a table until {@link dispose}.
    * @param table - name of the table
-   * @param waits - time that the store waits for a change, and the longest pause after one, in ms
+   * @param waits - time between two reads of the fleet, and the longest pause after a change, in ms
    * @param listener - receives rows and, optionally, whether the store is reachable
    */
   follow(
     table: string,
-    waits: Pick<TableFollowerOptions, 'waitMs' | 'maxReadGapMs'>,
+    waits: Pick<TableFollowerOptions, 'pollSpacingMs' | 'maxReadGapMs'>,
     listener: Partial<TableListener> & Pick<TableListener, 'replaceAll' | 'apply'>,
   ): void {
-    const { logger, processCount, random, storeEra } = this.services;
+    const { logger, fleet, random, storeEra } = this.services;
     const follower = new TableFollower({
       feed: this.openFeed(),
       table,
@@ -47,7 +47,7 @@
         ...listener,
       },
       logger,
-      processCount,
+      fleet,
       random,
       storeEra,
     });
--- a/src/serving/StoreTables.ts
+++ b/src/serving/StoreTables.ts
@@ -8,14 +8,14 @@
 import type { Membership } from './peers/Membership.js';
 
 /**
- * Reads of the configuration and of servers. The store charges for each call. A silently lost
- * connection is detected only after the wait, but a peer whose wait ends earlier notifies this
- * process. The pause is a third of the time in which changes must take effect.
+ * Reads of the configuration and of servers. The store charges for each call. The sum of spacing,
+ * time-out of a read and heartbeat interval is less than the time in which changes must take effect
+ * after a loss of connections; the pause is a third of it.
  */
-const CHANGE_WAITS = { waitMs: 3000, maxReadGapMs: 1000 };
+const CHANGE_WAITS = { pollSpacingMs: 750, maxReadGapMs: 1000 };
 
 /** Reads of rows that may be late, because heartbeats also carry what they say. */
-const HEARTBEAT_BACKED_WAITS = { waitMs: 10_000, maxReadGapMs: 5000 };
+const HEARTBEAT_BACKED_WAITS = { pollSpacingMs: 2500, maxReadGapMs: 5000 };
 
 /** Views that follow the tables. */
 export interface StoreViews {
--- a/src/serving/TableFollower.ts
+++ b/src/serving/TableFollower.ts
@@ -1,5 +1,6 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { Disposable } from '../common/events/Types.js';
+import { pollWaitMs, type FleetPosition } from '../common/serving/PollSchedule.js';
 import type { StorePosition } from '../common/serving/StorePosition.js';
 import type { FeedRow, RowFeed } from '../storage/RowFeed.js';
 import type { PlatformError } from '../storage/Types.js';
@@ -9,23 +10,10 @@
 /** Time-out of a read, in ms. The store responds in a few ms. */
 const READ_TIMEOUT_MS = 1000;
 
-/** Shortest wait for a change as a share of the longest; each wait is random between the two. */
-const MIN_WAIT_SHARE = 0.6;
-
 /** Back-off after failed calls, in ms. It grows because the store limits the number of calls. */
 const INITIAL_BACKOFF_MS = 100;
 const MAX_BACKOFF_MS = 800;
 
-/**
- * Number of processes whose waits have the configured length. In larger fleets waits grow with the
- * number of processes, up to {@link MAX_WAIT_MS}: the calls of all processes together then stay the
- * same, and so does the time until one of them reads a change and notifies the others.
- */
-const PROCESSES_WITH_SHORT_WAITS = 4;
-
-/** Longest wait for a change, in ms; the store allows 30 s. */
-const MAX_WAIT_MS = 25_000;
-
 /**
  * Wait after a change per process that follows the table, in ms. A change completes the pending
  * reads of all processes, and a process that reads it early notifies the others.
@@ -53,17 +41,17 @@
   readonly feed: RowFeed;
   readonly table: string;
   /**
-   * Longest time that the store waits for a change before it responds, in ms, in a fleet of a few
-   * processes. A connection that is silently lost is detected only after the wait.
+   * Time between two reads of the fleet while nothing changes, in ms. Within it, one of the processes
+   * notices that connections to the store are silently lost.
    */
-  readonly waitMs: number;
+  readonly pollSpacingMs: number;
   /** Longest pause after a change before the next read, in ms. */
   readonly maxReadGapMs: number;
   readonly listener: TableListener;
   readonly logger: Logger;
   readonly storeEra: StoreEra;
-  /** @returns number of processes that follow the table and notify each other of changes */
-  readonly processCount: () => number;
+  /** @returns position among the processes that follow the table and notify each other of changes */
+  readonly fleet: () => FleetPosition;
   /** Random source for jitter, at least 0 and below 1. */
   readonly random: () => number;
 }
@@ -81,6 +69,9 @@
 
   private failures = 0;
 
+  /** Whether the previous read ended at about the same moment as those of the other processes. */
+  private isFirstPoll = true;
+
   private isStopped = false;
 
   /** Aborts the read that waits for changes. */
@@ -117,6 +108,7 @@
     const isRestored = this.isRestored(position);
     this.known = position;
     this.position = position;
+    this.isFirstPoll = true;
     listener.replaceAll(rows, position, isRestored);
     storeEra.observe(position.era);
     return undefined;
@@ -129,11 +121,11 @@
     // response shows.
     const isEraUnchecked = storeEra.current > Math.max(known.era, this.checkedEra);
     this.checkedEra = storeEra.current;
-    const pollWaitMs = this.failures > 0 || isEraUnchecked ? 0 : this.pollWaitMs();
-    const timeoutMs = pollWaitMs + READ_TIMEOUT_MS;
+    const waitMs = this.failures > 0 || isEraUnchecked ? 0 : this.pollWaitMs();
+    const timeoutMs = waitMs + READ_TIMEOUT_MS;
     this.waitingRead = new AbortController();
     const { signal } = this.waitingRead;
-    const result = await feed.changes(table, known, { waitMs: pollWaitMs, timeoutMs, signal });
+    const result = await feed.changes(table, known, { waitMs, timeoutMs, signal });
     if (signal.aborted) {
       this.position = undefined;
       return undefined;
@@ -155,6 +147,7 @@
     this.known = position;
     this.position = position;
     listener.apply(rows, position);
+    this.isFirstPoll = rows.length > 0 || waitMs === 0;
     if (rows.length > 0) await sleep(this.readGapMs());
     return undefined;
   }
@@ -174,21 +167,16 @@
     return isRestored;
   }
 
-  /**
-   * Waits differ in length, so that a process whose wait ends earlier notifies the others.
-   * @returns time that the store may wait for a change, in ms
-   */
+  /** @returns time that the store may wait for a change, in ms */
   private pollWaitMs(): number {
-    const { waitMs, processCount, random } = this.options;
-    const fleetFactor = Math.max(1, processCount() / PROCESSES_WITH_SHORT_WAITS);
-    const longestMs = Math.max(waitMs, Math.min(MAX_WAIT_MS, waitMs * fleetFactor));
-    return Math.round(longestMs * (MIN_WAIT_SHARE + random() * (1 - MIN_WAIT_SHARE)));
+    const { pollSpacingMs, fleet } = this.options;
+    return pollWaitMs(pollSpacingMs, fleet(), this.isFirstPoll);
   }
 
   /** @returns wait before the next read, in ms, with jitter, so that processes take turns */
   private readGapMs(): number {
-    const { processCount, random, maxReadGapMs } = this.options;
-    return Math.min(maxReadGapMs, READ_GAP_PER_PROCESS_MS * processCount()) * (0.5 + random() / 2);
+    const { fleet, random, maxReadGapMs } = this.options;
+    return Math.min(maxReadGapMs, READ_GAP_PER_PROCESS_MS * fleet().count) * (0.5 + random() / 2);
   }
 
   private recordSuccess(): void {
--- a/src/serving/peers/PeerView.ts
+++ b/src/serving/peers/PeerView.ts
@@ -1,4 +1,5 @@
 import type { Clock } from '../../common/time/Types.js';
+import type { FleetPosition } from '../../common/serving/PollSchedule.js';
 import { rankByHash } from '../../common/serving/RendezvousHashing.js';
 import type { Heartbeat } from './PeerMessages.js';
 
@@ -106,6 +107,13 @@
     return this.currentChoices().liveCount + 1;
   }
 
+  /** Position of this process among the live ones, by id. */
+  get fleetPosition(): FleetPosition {
+    const ownId = this.ownHeartbeat().id;
+    const ids = this.liveHeartbeats().map(({ id }) => id);
+    return { rank: ids.filter((id) => id < ownId).length, count: ids.length + 1 };
+  }
+
   /** @returns latest heartbeats of the other processes that are alive */
   liveHeartbeats(): Heartbeat[] {
     const now = this.clock.now();
