peers: registrations are copied although other processes lack them too

Cause: a process copies the registrations of a peer after the store has not delivered them for 600 ms, and each heartbeat of a peer that lacked them too began that wait anew.

Change: only a response of the store or a copy ends the wait. It is 350 ms plus the longest pause between two reads of the fleet.

--- a/src/serving/RegistrationView.test.ts
+++ b/src/serving/RegistrationView.test.ts
@@ -6,6 +6,9 @@
 import { createLogger } from '../telemetry/Logger.js';
 import { RegistrationView } from './RegistrationView.js';
 
+/** Time allowed for the store to deliver a change that a peer already knows, in ms. */
+const DELIVERY_TIMEOUT_MS = 600;
+
 /** Longer than the store may take to deliver a change that a peer already knows, in ms. */
 const LATE_MS = 1000;
 
@@ -18,7 +21,14 @@
     registration: (id: string) => ({ ok: true, value: { id, server: createServer(id) } }) as const,
   };
   const logger = createLogger('test', 'error', () => undefined);
-  const view = new RegistrationView(clock, directory, decoder, logger, () => undefined);
+  const view = new RegistrationView(
+    clock,
+    directory,
+    decoder,
+    logger,
+    () => undefined,
+    () => DELIVERY_TIMEOUT_MS,
+  );
   view.markStoreReachable();
   view.replaceAll([{ key: 's1', value: Buffer.from('1') }], { era: 1, version: 500 }, false);
   return { clock, directory, view };
@@ -32,6 +42,32 @@
   return view.shouldCopyFrom(peer);
 }
 
+describe('RegistrationView behind a peer', () => {
+  it('copies its registrations although other peers are behind as well', () => {
+    // Guards against a drain that only one of many processes learns of, because heartbeats of the
+    // others restart the wait for the store.
+    const { clock, view } = createView();
+    const later = { serverEra: 1, serverVersion: 501, serverDigest: -1 };
+    const equal = { serverEra: 1, serverVersion: 500, serverDigest: view.digest };
+    const copiesAt: number[] = [];
+    for (let now = 0; now <= LATE_MS; now += 250) {
+      clock.set(now);
+      if (view.shouldCopyFrom(later)) copiesAt.push(now);
+      assert.equal(view.shouldCopyFrom(equal), false);
+    }
+    assert.deepEqual(copiesAt, [750, 1000]);
+  });
+
+  it('waits anew after the store has delivered a change', () => {
+    const { clock, view } = createView();
+    const later = { serverEra: 1, serverVersion: 502, serverDigest: -1 };
+    assert.equal(view.shouldCopyFrom(later), false);
+    clock.set(DELIVERY_TIMEOUT_MS + 1);
+    view.apply([{ key: 's1', value: Buffer.from('2') }], { era: 1, version: 501 });
+    assert.equal(view.shouldCopyFrom(later), false);
+  });
+});
+
 const rowOf = (id: string): [string, string] => [id, Buffer.from(id).toString('base64')];
 
 describe('RegistrationView after the store was restored', () => {
--- a/src/serving/RegistrationView.ts
+++ b/src/serving/RegistrationView.ts
@@ -11,9 +11,6 @@
 import type { RowDecoder } from './Types.js';
 import type { Heartbeat, RegistrationSnapshot } from './peers/PeerMessages.js';
 
-/** Time allowed for the store to deliver a change that a peer already knows, in ms. */
-const STORE_DELIVERY_TIMEOUT_MS = 600;
-
 /** Digests are sums modulo this number. */
 const DIGEST_RANGE = 2 ** 32;
 
@@ -33,6 +30,7 @@
 
   private rowsDigest = 0;
 
+  /** Time since which a peer knows changes that neither the store nor a peer has delivered. */
   private behindSince: number | undefined;
 
   /**
@@ -41,6 +39,8 @@
    * @param decoder - decodes rows of the store
    * @param logger - logs invalid registrations
    * @param onApplied - called after registrations have changed
+   * @param deliveryTimeoutMs - returns the time allowed for the store to deliver a change that a peer
+   *   already knows, in ms
    */
   constructor(
     private readonly clock: Clock,
@@ -48,6 +48,7 @@
     private readonly decoder: RowDecoder,
     private readonly logger: Logger,
     private readonly onApplied: () => void,
+    private readonly deliveryTimeoutMs: () => number,
   ) {}
 
   /** Position of the store up to which the registrations are known. */
@@ -72,17 +73,16 @@
   /**
    * Whether to copy the registrations of a peer because it knows changes that this process lacks.
    * While the store responds, the process first waits for the store to deliver them, since a change
-   * reaches processes at slightly different times.
+   * reaches processes at slightly different times. Peers that lack them too do not restart the wait.
    * @returns whether to copy them now
    */
   shouldCopyFrom({ serverEra, serverVersion, serverDigest }: PeerRegistrationState): boolean {
     const position = { era: serverEra, version: serverVersion };
     const isLater = isLaterPosition(position, this.newestPosition);
-    const isBehind = isLater && serverDigest !== this.rowsDigest;
-    if (!isBehind) this.behindSince = undefined;
-    else this.behindSince ??= this.clock.now();
-    const behindMs = this.clock.now() - (this.behindSince ?? Infinity);
-    return isBehind && (this.isStoreUnreachable || behindMs > STORE_DELIVERY_TIMEOUT_MS);
+    if (!isLater || serverDigest === this.rowsDigest) return false;
+    if (this.isStoreUnreachable) return true;
+    this.behindSince ??= this.clock.now();
+    return this.clock.now() - this.behindSince > this.deliveryTimeoutMs();
   }
 
   markStoreReachable(): void {
@@ -101,6 +101,7 @@
    * @param position - position of the store after these changes
    */
   apply(rows: readonly FeedRow[], position: StorePosition): void {
+    this.behindSince = undefined;
     if (isLaterPosition(position, this.newestPosition)) this.newestPosition = position;
     rows.forEach(({ key, value }) => {
       if (value) this.rows.set(key, value);
@@ -118,6 +119,7 @@
    * @param isRestored - whether the store was restored since the rows were known
    */
   replaceAll(rows: readonly FeedRow[], position: StorePosition, isRestored: boolean): void {
+    this.behindSince = undefined;
     this.rows.clear();
     this.newestPosition = position;
     rows.forEach(({ key, value }) => value && this.rows.set(key, value));
--- a/src/serving/ServingProcess.ts
+++ b/src/serving/ServingProcess.ts
@@ -20,7 +20,7 @@
 import { createRequestRunner } from './createRequestRunner.js';
 import { StoreEra } from './StoreEra.js';
 import { StoreFollowers } from './StoreFollowers.js';
-import { followStoreTables } from './StoreTables.js';
+import { followStoreTables, serverDeliveryTimeoutMs } from './StoreTables.js';
 import { ChannelServer } from './peers/ChannelServer.js';
 import { Membership } from './peers/Membership.js';
 import type { Heartbeat } from './peers/PeerMessages.js';
@@ -112,8 +112,13 @@
     departures.onChanged(() => this.batcher.updateServers());
     departures.onEnded(() => this.batcher.updateServers());
     this.configuration = new ConfigurationView(clock, options.decoder, logger);
-    this.registrations = new RegistrationView(clock, this.directory, options.decoder, logger, () =>
-      this.batcher.updateServers(),
+    this.registrations = new RegistrationView(
+      clock,
+      this.directory,
+      options.decoder,
+      logger,
+      () => this.batcher.updateServers(),
+      () => serverDeliveryTimeoutMs(this.peerView.processCount),
     );
     this.peerView = new PeerView(clock, () => this.createHeartbeat());
     const { ratio, slack, windowSeconds } = settings.retryBudget;
--- a/src/serving/StoreTables.ts
+++ b/src/serving/StoreTables.ts
@@ -5,6 +5,7 @@
 import type { RegistrationView } from './RegistrationView.js';
 import type { StoreNames } from './ServingProcessOptions.js';
 import type { StoreFollowers } from './StoreFollowers.js';
+import { longestReadGapMs } from './TableFollower.js';
 import type { Membership } from './peers/Membership.js';
 
 /**
@@ -14,6 +15,12 @@
  */
 const CHANGE_WAITS = { pollSpacingMs: 750, maxReadGapMs: 1000 };
 
+/**
+ * Time in which a response of the store arrives that a peer has received already, in ms, besides the
+ * pause after the previous change.
+ */
+const DELIVERY_MARGIN_MS = 350;
+
 /** Reads of rows that may be late, because heartbeats also carry what they say. */
 const HEARTBEAT_BACKED_WAITS = { pollSpacingMs: 2500, maxReadGapMs: 5000 };
 
@@ -59,3 +66,11 @@
     apply: (rows) => crashingPartTable.apply(rows),
   });
 }
+
+/**
+ * @param processCount - number of processes that follow the store
+ * @returns time in which the store delivers a change of the servers that a peer already knows, in ms
+ */
+export function serverDeliveryTimeoutMs(processCount: number): number {
+  return DELIVERY_MARGIN_MS + longestReadGapMs(processCount, CHANGE_WAITS.maxReadGapMs);
+}
--- a/src/serving/TableFollower.ts
+++ b/src/serving/TableFollower.ts
@@ -176,7 +176,7 @@
   /** @returns wait before the next read, in ms, with jitter, so that processes take turns */
   private readGapMs(): number {
     const { fleet, random, maxReadGapMs } = this.options;
-    return Math.min(maxReadGapMs, READ_GAP_PER_PROCESS_MS * fleet().count) * (0.5 + random() / 2);
+    return longestReadGapMs(fleet().count, maxReadGapMs) * (0.5 + random() / 2);
   }
 
   private recordSuccess(): void {
@@ -198,3 +198,12 @@
     await sleep(maxDelayMs * (0.5 + random() / 2));
   }
 }
+
+/**
+ * @param processCount - number of processes that follow the table
+ * @param maxReadGapMs - upper limit, in ms
+ * @returns longest pause after a change before the next read, in ms
+ */
+export function longestReadGapMs(processCount: number, maxReadGapMs: number): number {
+  return Math.min(maxReadGapMs, READ_GAP_PER_PROCESS_MS * processCount);
+}
