addresses, ids and handles of others are checked where they are decoded

Cause: addresses were checked by their rough form or not at all, and sockets throw for others, in a timer or while a request is handled.

Change: one schema, EndpointAddress, for all addresses that others write.

Evidence: three of six tests of OddRows and the new test of BundledProgram (the process had ended) failed before and pass now.

--- a/src/serving/peers/ChannelClient.ts
+++ b/src/serving/peers/ChannelClient.ts
@@ -3,7 +3,7 @@
 import type { TaskOutcome } from '../../common/serving/Types.js';
 import type { Logger } from '../../telemetry/Logger.js';
 import { JsonLinesConnection } from './JsonLinesConnection.js';
-import type { ChannelReply, StageRequest } from './PeerMessages.js';
+import { ChannelReply, type StageRequest } from './PeerMessages.js';
 
 /** Time-out for connecting to a peer, in ms. */
 const CONNECT_TIMEOUT_MS = 400;
@@ -39,7 +39,8 @@
     const timer = setTimeout(() => this.close(), CONNECT_TIMEOUT_MS);
     this.socket.once('connect', () => clearTimeout(timer));
     this.messages = new JsonLinesConnection(this.socket, (message) =>
-      this.handleReply(message as ChannelReply),
+      // A message that is no reply throws, which closes the connection.
+      this.handleReply(ChannelReply.parse(message)),
     );
     this.socket.on('error', (error) => logger.debug('peer connection failed', { address, error }));
     this.socket.on('close', () => {
--- a/src/serving/peers/PeerMessages.ts
+++ b/src/serving/peers/PeerMessages.ts
@@ -1,21 +1,21 @@
 /** Messages between serving processes. */
 import { z } from 'zod';
+import { EndpointAddress } from '../../common/protocol/EndpointAddress.js';
 import { ConfigurationRank } from '../../common/serving/ConfigurationOrder.js';
 import { CrashEvidence } from '../../common/serving/CrashingParts.js';
 import { ServerDepartureReports } from '../../common/serving/ServerDepartures.js';
 import { ServerLimitReports } from '../../common/serving/ServerLimits.js';
 import { StorePosition } from '../../common/serving/StorePosition.js';
-import type { TaskOutcome } from '../../common/serving/Types.js';
 
 /** State of a process, which it sends to all others several times a second, as one datagram. */
 export const Heartbeat = z.object({
   id: z.string(),
   /** Start time of the process; a later incarnation replaces an earlier one of the same id. */
   incarnation: z.number(),
-  /** Address for calls and datagrams, `ip:port`. */
-  address: z.string(),
-  /** Address for stage requests, `ip:port`. */
-  channel: z.string(),
+  /** Address for calls and datagrams. */
+  address: EndpointAddress,
+  /** Address for stage requests. */
+  channel: EndpointAddress,
   /** Capacity for batching, relative to other processes. */
   weight: z.number().positive(),
   /** Whether the process is stopping; it receives no new work. */
@@ -31,7 +31,7 @@
   /** Hash of the sender's registrations; equal in processes that know the same ones. */
   serverDigest: z.number(),
   /** Time until all pieces waiting at the sender could be started, by stage service, in ms. */
-  backlogs: z.record(z.string(), z.number()),
+  backlogs: z.record(z.string(), z.number().min(0)),
   /** Sender's load on each engine: running requests, and prompt tokens not yet prefilled. */
   engines: z.record(z.string(), z.tuple([z.number(), z.number()])),
   /** What the sender knows about prompt parts that crash servers; older versions send none. */
@@ -44,15 +44,18 @@
 export type Heartbeat = z.infer<typeof Heartbeat>;
 
 /** Row in the store with which a process announces its address to its peers. */
-export const MemberRow = z.object({ id: z.string(), address: z.string() });
+export const MemberRow = z.object({ id: z.string(), address: EndpointAddress });
 export type MemberRow = z.infer<typeof MemberRow>;
 
+/** Maximum number of pieces of one stage of a request. */
+const MAX_PIECES = 100_000;
+
 /** Request to run all pieces of one stage of a caller's request. */
 export const StageRequest = z.object({
   service: z.string(),
   attemptId: z.string(),
   stage: z.number().int(),
-  pieces: z.number().int().min(1),
+  pieces: z.number().int().min(1).max(MAX_PIECES),
   key: z.string().optional(),
   inputs: z.array(z.string()),
   resultBytes: z.number(),
@@ -76,10 +79,14 @@
 export type ChannelRequest = z.infer<typeof ChannelRequest>;
 
 /** Reply when a stage has ended. */
-export interface ChannelReply {
-  readonly id: number;
-  readonly outcome: TaskOutcome;
-}
+export const ChannelReply = z.object({
+  id: z.number(),
+  outcome: z.discriminatedUnion('kind', [
+    z.object({ kind: z.literal('done'), handles: z.array(z.string()) }),
+    z.object({ kind: z.enum(['expired', 'input-gone', 'failed']) }),
+  ]),
+});
+export type ChannelReply = z.infer<typeof ChannelReply>;
 
 /**
  * All registrations of backend servers that a process knows, encoded as in the store. Older versions
