membership list: an invalid instance is ignored, and the others hold

Change: each instance is checked by itself, its address too, and an invalid one is ignored with a log line.

Evidence: the new test of HttpMembershipList fails with the former code (the list is an error) and passes now.

--- a/src/agent/AgentProcess.ts
+++ b/src/agent/AgentProcess.ts
@@ -224,7 +224,7 @@
       pollIntervalMs: settings.configuration.pollIntervalMs,
       peers: createPeerLookup({
         ownId: settings.id,
-        membership: new HttpMembershipList(settings.platform.membershipUrl),
+        membership: new HttpMembershipList(settings.platform.membershipUrl, this.logger),
         addresses: settings.peers,
         internalToken: settings.internalToken,
       }),
--- a/src/entry/createEntry.ts
+++ b/src/entry/createEntry.ts
@@ -32,7 +32,7 @@
   const random = new SeededRandom(randomBytes(SEED_BYTES).readInt32LE());
   const table = new HttpTableStore(settings.platform.tableUrl);
   const membership = new CachedMembershipList(
-    new HttpMembershipList(settings.platform.membershipUrl),
+    new HttpMembershipList(settings.platform.membershipUrl, logger),
   );
   const configuration = new ConfigurationFollower({
     store: table,
--- a/src/standin/Faults.test.ts
+++ b/src/standin/Faults.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { after, before, test } from 'node:test';
 import { setTimeout as sleep } from 'node:timers/promises';
+import { createLogger } from '../telemetry/Logger.js';
 import { HttpMembershipList } from '../storage/HttpMembershipList.js';
 import { HttpObjectStore } from '../storage/HttpObjectStore.js';
 import { HttpTableStore } from '../storage/HttpTableStore.js';
@@ -86,7 +87,7 @@
 });
 
 test('membership changes become visible after the lag', async () => {
-  const list = new HttpMembershipList(fixture.url('membership'));
+  const list = new HttpMembershipList(fixture.url('membership'), createLogger('test', 'error'));
   const instance = {
     id: 'a',
     role: 'agent',
--- a/src/storage/HttpMembershipList.test.ts
+++ b/src/storage/HttpMembershipList.test.ts
@@ -1,6 +1,10 @@
 import assert from 'node:assert/strict';
+import { once } from 'node:events';
+import { createServer } from 'node:http';
+import type { AddressInfo } from 'node:net';
 import { after, before, test } from 'node:test';
 import { StandinFixture } from '../standin/testing/StandinFixture.js';
+import { createLogger } from '../telemetry/Logger.js';
 import { HttpMembershipList } from './HttpMembershipList.js';
 
 const OPTIONS = { timeoutMs: 1000 };
@@ -9,7 +13,7 @@
 
 before(async () => {
   await fixture.start({ kind: 'membership' });
-  list = new HttpMembershipList(fixture.url('membership'));
+  list = new HttpMembershipList(fixture.url('membership'), createLogger('test', 'error'));
 });
 
 after(async () => {
@@ -60,3 +64,28 @@
   await fixture.setFaults('membership', { outage: false });
   assert.deepEqual(await listIds(), ['a']);
 });
+
+test('an entry that is invalid is ignored and logged, and the others hold', async () => {
+  // Guards against one entry of another writer that stops all processes from following the list.
+  const valid = {
+    id: 'a',
+    role: 'agent',
+    address: '127.0.0.1:1',
+    failureDomain: 'd',
+    state: 'live',
+  };
+  const invalid = [null, 7, {}, { ...valid, address: '127.0.0.1:70000' }, { ...valid, role: 'x' }];
+  const server = createServer((_request, response) => {
+    response.end(JSON.stringify({ instances: [...invalid, valid] }));
+  }).listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const lines: string[] = [];
+  const logger = createLogger('test', 'warn', (line) => lines.push(line));
+  const url = `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
+  const other = new HttpMembershipList(url, logger);
+  const result = await other.list(OPTIONS);
+  assert.deepEqual(result.ok && result.value.map(({ id }) => id), ['a']);
+  assert.equal(lines.length, invalid.length);
+  await other.close();
+  server.close();
+});
--- a/src/storage/HttpMembershipList.ts
+++ b/src/storage/HttpMembershipList.ts
@@ -1,4 +1,5 @@
-import { InstanceList, type Instance } from '../common/protocol/Membership.js';
+import { Instance, UncheckedInstanceList } from '../common/protocol/Membership.js';
+import type { Logger } from '../telemetry/Logger.js';
 import { HttpCaller, STATUS_NOT_MODIFIED } from './HttpCaller.js';
 import { parseBody } from './ResponseBody.js';
 import type { CallOptions, MembershipList, PlatformResult } from './Types.js';
@@ -6,15 +7,21 @@
 /**
  * HTTP client of the platform's membership list. Sends the entity tag of the cached list, so that
  * an unchanged list is not transferred, and accepts a compressed body: with 1,100 instances the
- * plain body is about 150 KB.
+ * plain body is about 150 KB. An entry that is invalid is ignored, and the others hold.
  */
 export class HttpMembershipList implements MembershipList {
   private readonly caller: HttpCaller;
 
   private cached: { readonly etag: string; readonly instances: Instance[] } | null = null;
 
-  /** @param baseUrl - URL of the membership service */
-  constructor(baseUrl: string) {
+  /**
+   * @param baseUrl - URL of the membership service
+   * @param logger - logs invalid entries
+   */
+  constructor(
+    baseUrl: string,
+    private readonly logger: Logger,
+  ) {
     this.caller = new HttpCaller(baseUrl);
   }
 
@@ -34,9 +41,9 @@
     const { status, text, etag } = answer.value;
     // Returning the same array shows the caller that the list is unchanged.
     if (status === STATUS_NOT_MODIFIED && cached) return { ok: true, value: cached.instances };
-    const body = parseBody(InstanceList, text, 'unavailable');
+    const body = parseBody(UncheckedInstanceList, text, 'unavailable');
     if (!body.ok) return body;
-    const { instances } = body.value;
+    const instances = this.validInstances(body.value.instances);
     this.cached = etag === undefined ? null : { etag, instances };
     return { ok: true, value: instances };
   }
@@ -45,4 +52,13 @@
   close(): Promise<void> {
     return this.caller.close();
   }
+
+  private validInstances(entries: readonly unknown[]): Instance[] {
+    return entries.flatMap((entry, index) => {
+      const instance = Instance.safeParse(entry);
+      if (instance.success) return [instance.data];
+      this.logger.warn('invalid instance ignored', { index, reason: instance.error.message });
+      return [];
+    });
+  }
 }
