fixture: heartbeats of tests have addresses that can be connected to

Cause: heartbeats are checked since, and the fixture named no addresses, so that the test of messages of older versions failed.

Change: loopback addresses in the fixture.

--- a/src/serving/peers/testing/fixtures.ts
+++ b/src/serving/peers/testing/fixtures.ts
@@ -6,8 +6,8 @@
   return {
     id,
     incarnation: 1,
-    address: `${id}:1`,
-    channel: `${id}:2`,
+    address: '127.0.0.1:1',
+    channel: '127.0.0.1:2',
     weight: 1,
     isLeaving: false,
     configurationVersion: 1,
