servers: a row for a service that does not exist displaces no server

What callers saw: a row of another writer with the address of a sound server and an unknown service took the server out of use until its own row changed (503 for about a second or longer; found by the review).

Cause: an address belongs to the row that registered last, whatever its service.

Change: a row for a service that the configuration in force does not name is ignored if its address belongs to another server.

Evidence: the new test of ServerDirectory fails without the check (the row is registered and the server removed) and passes now.

--- a/src/common/serving/ServerDirectory.test.ts
+++ b/src/common/serving/ServerDirectory.test.ts
@@ -6,7 +6,11 @@
 
 function createDirectory() {
   const clock = new ManualClock();
-  const directory = new ServerDirectory(clock, createDepartures(clock));
+  const directory = new ServerDirectory(
+    clock,
+    createDepartures(clock),
+    (service) => service !== 'unknown',
+  );
   directory.markStoreReachable();
   clock.set(10 * REREGISTRATION_PERIOD_MS);
   const register = (id: string, overrides = {}) =>
@@ -65,6 +69,15 @@
     assert.equal(directory.findByAddress('10.0.0.1:80')?.id, 's2');
   });
 
+  it('keeps a server when a row for a service that does not exist names its address', () => {
+    // Guards against a row of another writer that takes a sound server out of use.
+    const { directory, register, ids } = createDirectory();
+    register('s1', { address: '10.0.0.1:80' });
+    register('odd', { address: '10.0.0.1:80', service: 'unknown' });
+    assert.deepEqual(ids(), ['s1']);
+    assert.equal(directory.findByAddress('10.0.0.1:80')?.id, 's1');
+  });
+
   it('fires onRemoved when a server restarts under the same id', () => {
     // Guards against using results and connections of the previous process.
     const { directory, register } = createDirectory();
--- a/src/common/serving/ServerDirectory.ts
+++ b/src/common/serving/ServerDirectory.ts
@@ -53,10 +53,12 @@
   /**
    * @param clock - time source
    * @param departures - servers that leave; they are usable only within their grace time
+   * @param isKnownService - whether a service may have servers; by default, each one may
    */
   constructor(
     private readonly clock: Clock,
     private readonly departures: ServerDepartures,
+    private readonly isKnownService: (service: string) => boolean = () => true,
   ) {
     departures.onChanged(() => this.usableByService.clear());
     departures.onEnded(() => this.usableByService.clear());
@@ -145,6 +147,10 @@
   }
 
   private register(server: BackendServer, isRestored: boolean): void {
+    const previous = this.findByAddress(server.address);
+    const isAddressTaken = previous !== undefined && previous.id !== server.id;
+    // Another writer's row for a service that does not exist displaces no server.
+    if (isAddressTaken && !this.isKnownService(server.service)) return;
     this.delayedRemovals.delete(server.id);
     const current = this.servers.get(server.id);
     if (isRestored && current && isEarlier(server, current)) {
@@ -154,10 +160,9 @@
     if (current && isRestart(current, server)) this.remove(server.id);
     if (server.isDraining) this.departures.recordRegistration(server);
     else this.departures.recordReady(server, isRestored);
-    const previous = this.findByAddress(server.address);
     // Only one server can listen on an address: the one that registered last.
-    if (previous && previous.id !== server.id && isRestored && this.departures.has(server)) return;
-    if (previous && previous.id !== server.id) this.remove(previous.id);
+    if (isAddressTaken && isRestored && this.departures.has(server)) return;
+    if (isAddressTaken) this.remove(previous.id);
     this.servers.set(server.id, server);
     this.serversByAddress.set(server.address, server);
     this.usableByService.clear();
--- a/src/serving/ServingProcess.ts
+++ b/src/serving/ServingProcess.ts
@@ -108,7 +108,10 @@
     const { statements, crashingParts } = this.observations;
     const { departures } = statements;
     registerStateGauges(metrics, statements, this.storeEra);
-    this.directory = new ServerDirectory(clock, departures);
+    this.directory = new ServerDirectory(clock, departures, (service) => {
+      const { routeTable: routes } = this.configuration;
+      return routes === undefined || routes.service(service) !== undefined;
+    });
     departures.onChanged(() => this.batcher.updateServers());
     departures.onEnded(() => this.batcher.updateServers());
     this.configuration = new ConfigurationView(clock, options.decoder, logger);
