--- a/src/serving/StoreTables.ts
+++ b/src/serving/StoreTables.ts
@@ -9,9 +9,10 @@
 import type { Membership } from './peers/Membership.js';
 
 /**
- * Reads of the configuration and of servers. The store charges for each call. The sum of spacing,
- * time-out of a read and heartbeat interval is less than the time in which changes must take effect
- * after a loss of connections; the pause is a third of it.
+ * Reads of the configuration and of servers. The store charges for each call. If connections to the
+ * store go silent, the fleet learns of a change after the spacing, the time-out of a read and the
+ * interval of the heartbeats at the latest. The pause is a third of the time in which changes must
+ * take effect.
  */
 const CHANGE_WAITS = { pollSpacingMs: 750, maxReadGapMs: 1000 };
 
