serving: a planned stop waits for the stages batched for peers

What callers saw: nothing but a longer wait; stage servers did the work of such stages twice.

Cause: a stopping process ended once it had no request of its own, and the stages that it batched for peers broke off with their connections.

Change: it also waits until no stage is left, within the same grace period.

--- a/src/serving/ServingProcess.ts
+++ b/src/serving/ServingProcess.ts
@@ -262,6 +262,11 @@
     return this.peerView.processCount - 1;
   }
 
+  /** @returns whether this process batches the stage service for all processes */
+  isBatching(service: string): boolean {
+    return this.peerView.batchingProcess(service).id === this.options.settings.id;
+  }
+
   /** @returns number of backend servers of the service that may receive new work */
   usableServerCount(service: string): number {
     return this.directory.usable(service).length;
@@ -315,7 +320,8 @@
     if (wasReady) await sleep(BALANCER_STOP_DELAY_MS);
     while (clock.now() < this.stopsAt) {
       this.ingress.stopAccepting();
-      if (this.ingress.requestsRunning === 0) break;
+      // Peers whose stages this process batches would have to run them again.
+      if (this.ingress.requestsRunning === 0 && this.batcher.isIdle) break;
       await sleep(STOP_CHECK_INTERVAL_MS);
     }
     logger.info('stopped', { running: this.ingress.requestsRunning });
@@ -363,7 +369,7 @@
   private limitShareOf({ id, service }: BackendServer, requestsPerS: number): number {
     const isStage = this.configuration.routeTable?.service(service)?.stage !== undefined;
     if (!isStage) return this.peerView.limitShare(id, requestsPerS);
-    return this.peerView.batchingProcess(service).id === this.options.settings.id ? 1 : 0;
+    return this.isBatching(service) ? 1 : 0;
   }
 
   private createHeartbeat(): Heartbeat {
--- a/src/serving/StageBatcher.ts
+++ b/src/serving/StageBatcher.ts
@@ -179,6 +179,11 @@
     this.send({ type: 'refresh' });
   }
 
+  /** Whether no stage is running or waiting, for this process or its peers. */
+  get isIdle(): boolean {
+    return this.listeners.size === 0;
+  }
+
   /** @returns time until all pieces waiting now could be started, by service, in ms */
   backlogs(): Map<string, number> {
     return new Map([...this.queues].map(([service, queue]) => [service, queue.backlogMs]));
