crashing parts: crashes of one moment count as before

Cause: processes learn of a crash piece by piece, and at a crashed server other requests are lost too, so that moments often seemed to have another cause.

Change: moments are counted by part again. The group rule stays: five crashes of a part that never worked while other requests are served.

--- a/src/common/serving/CrashingParts.ts
+++ b/src/common/serving/CrashingParts.ts
@@ -274,28 +274,18 @@
   /** @returns crashes that each part explains, by part id */
   private explainedCrashes(): Map<string, ExplainedCrashes> {
     const explained = new Map<string, { all: Crash[]; moments: Crash[] }>();
-    this.moments().forEach((moment) => {
-      // An outage also ends servers at which no request with the part was lost.
-      const suspects = commonSuspects(moment.map((crash) => this.suspectsOf(crash)));
-      suspects.forEach((part) => {
-        const { all, moments } = explained.get(part) ?? { all: [], moments: [] };
-        explained.set(part, { all: [...all, ...moment], moments: [...moments, moment[0]!] });
-      });
-    });
-    return explained;
-  }
-
-  /** @returns crashes in order, those of the same moment together */
-  private moments(): Crash[][] {
-    const moments: Crash[][] = [];
     [...this.crashes.values()]
       .sort((left, right) => left.at - right.at)
-      .forEach((crash) => {
-        const moment = moments.at(-1);
-        if (moment && crash.at - moment[0]!.at < MIN_CRASH_INTERVAL_MS) moment.push(crash);
-        else moments.push([crash]);
-      });
-    return moments;
+      .forEach((crash) =>
+        this.suspectsOf(crash).forEach((part) => {
+          const crashes = explained.get(part) ?? { all: [], moments: [] };
+          const lastMomentAt = crashes.moments.at(-1)?.at ?? -Infinity;
+          if (crash.at - lastMomentAt >= MIN_CRASH_INTERVAL_MS) crashes.moments.push(crash);
+          crashes.all.push(crash);
+          explained.set(part, crashes);
+        }),
+      );
+    return explained;
   }
 
   /** Whether the crashes that a part explains suffice to refuse requests with it. */
@@ -317,10 +307,12 @@
   }
 
   private toCrashingPart(part: string, explained: ExplainedCrashes): CrashingPart {
+    const { all, moments } = explained;
+    const crashes = moments.length >= MIN_CRASHES ? moments : all;
     return {
       part,
-      suspects: commonSuspects(explained.all.map((crash) => this.suspectsOf(crash))),
-      crashes: explained.all.length,
+      suspects: commonSuspects(crashes.map((crash) => this.suspectsOf(crash))),
+      crashes: crashes.length,
       endsAt: decisiveCrashes(explained)[0]!.at + CRASH_LIFETIME_MS,
     };
   }
