--- a/src/common/serving/PollSchedule.ts
+++ b/src/common/serving/PollSchedule.ts
@@ -15,8 +15,8 @@
  * the process that notices it first tells the others what it has missed.
  *
  * Handles a change, which completes the polls of all processes at the same moment: each then waits
- * for a time that its rank determines, and from then on for the same time as the others. All processes
- * together make the same number of calls as one process alone.
+ * for a time that its rank determines, and from then on for the same time as the others. Until the
+ * longest wait is reached, all processes together make as many calls as one process alone.
  *
  * @param spacingMs - time between the ends of two polls of the fleet, in ms
  * @param fleet - position of this process
