configurations: what the store held last goes before the claim of a peer

One process that had been restarted did not know configuration 3 of the copy, read it and was then cut off; also with two restarted processes, with the number given out again with other content, and with an older configuration written first.

Cause: a configuration of unknown content with a low number began a new generation half a second later, and a higher generation of one process went before whatever its peers had read from the store. The newer one that the operator wrote again kept its generation, because its content was known.

Change: ConfigurationOrder orders configurations by the position at which the store held them (era and version of the row) and by what all processes remember from before a restore. A claim of a peer counts only beyond the last row that this process has read, and a leftover of the time before a restore never. Heartbeats say what a process has read and whether it is a leftover. A low number is in force after a second response of the store, which is asked half a second later, not by time alone. Gauges and logs show positions.

--- a/src/serving/ConfigurationView.ts
+++ b/src/serving/ConfigurationView.ts
@@ -1,9 +1,8 @@
 import murmurhash from 'murmurhash';
 import { Emitter } from '../common/events/Emitter.js';
-import {
-  ConfigurationOrder,
-  type ConfigurationRank,
-} from '../common/serving/ConfigurationOrder.js';
+import { ConfigurationOrder } from '../common/serving/ConfigurationOrder.js';
+import type { ConfigurationState } from '../common/serving/ConfigurationState.js';
+import type { StorePosition } from '../common/serving/StorePosition.js';
 import type { ServingConfiguration } from '../common/serving/ServingConfiguration.js';
 import { RouteTable } from '../common/serving/RouteTable.js';
 import type { Clock } from '../common/time/Types.js';
@@ -20,8 +19,8 @@
 
   private currentValue: Buffer | undefined;
 
-  /** Configuration that may be in force soon, see {@link applySettled}. */
-  private pending: { readonly decoded: ServingConfiguration; readonly value: Buffer } | undefined;
+  /** Configuration that was read last and may be in force soon, see {@link applySettled}. */
+  private stored: { readonly decoded: ServingConfiguration; readonly value: Buffer } | undefined;
 
   private readonly order = new ConfigurationOrder();
 
@@ -49,7 +48,8 @@
   /** The configuration for peers, encoded as in the store; undefined before the first one. */
   get snapshot(): ConfigurationSnapshot | undefined {
     const value = this.currentValue?.toString('base64');
-    return value === undefined ? undefined : { ...this.order.history, value };
+    const { history } = this.order;
+    return value === undefined || !history ? undefined : { ...history, value };
   }
 
   /** Version of the configuration; -1 for none. */
@@ -57,37 +57,61 @@
     return this.current?.version ?? -1;
   }
 
-  /** Rank of the configuration among those of all processes. */
-  get rank(): ConfigurationRank {
-    return this.order.rank;
+  /** Which configuration is in force and which one the store holds, for peers. */
+  get state(): ConfigurationState | undefined {
+    return this.order.state;
   }
 
   /**
    * Applies the configuration that the store holds if it is newer than the current one.
    * @param value - encoded configuration, as in the row of the store
-   * @param era - era of the store in which it was read
+   * @param position - position of the store at which the row was written
    */
-  applyStored(value: Buffer, era: number): void {
+  applyStored(value: Buffer, position: StorePosition): void {
     const decoded = this.decode(value, 'store');
     if (!decoded) return;
     const { version } = decoded;
-    const outcome = this.order.offer({ version, digest: digestOf(value), era }, this.clock.now());
-    this.pending = outcome === 'pending' ? { decoded, value } : undefined;
+    const offered = { version, digest: digestOf(value), position };
+    const outcome = this.order.offer(offered, this.clock.now());
+    this.stored = { decoded, value };
     if (outcome === 'in-force') this.apply(decoded, value, 'store');
     else if (outcome !== 'known') {
       const current = this.version;
-      this.logger.warn('older configuration in the store', { version, current, era, outcome });
+      this.logger.warn('older configuration in the store', {
+        version,
+        current,
+        position,
+        outcome,
+      });
     }
   }
 
-  /** Applies the configuration that was pending if it has remained the store's for long enough. */
+  /** Time after which the store should be read again, in ms. */
+  get recheckMs(): number {
+    return this.order.recheckMs;
+  }
+
+  /**
+   * Applies the configuration that was pending if it has remained the store's for long enough. To be
+   * called after each response of the store.
+   */
   applySettled(): void {
-    if (!this.order.settle(this.clock.now()) || !this.pending) return;
-    const { decoded, value } = this.pending;
-    this.pending = undefined;
+    if (!this.order.settle(this.clock.now()) || !this.stored) return;
+    const { decoded, value } = this.stored;
     this.apply(decoded, value, 'store');
   }
 
+  /**
+   * Learns from the heartbeat of a peer which configuration the store holds.
+   * @param version - number of the peer's configuration; -1 for none
+   * @param state - state of the peer; undefined for one of an older version
+   * @returns whether to copy the peer's configuration
+   */
+  observe(version: number, state: ConfigurationState | undefined): boolean {
+    if (state) this.order.observe(state, this.clock.now());
+    return this.order.isBehind(version, state);
+  }
+
   /**
    * Applies the configuration of a peer if it is newer than the current one.
    * @param snapshot - configuration and what the peer knows about its order
@@ -96,7 +120,9 @@
   applyFromPeer({ value: encoded, ...history }: ConfigurationSnapshot, peerId: string): void {
     const value = Buffer.from(encoded, 'base64');
     const decoded = this.decode(value, peerId);
-    if (decoded && this.order.merge(history, digestOf(value))) this.apply(decoded, value, peerId);
+    if (!decoded) return;
+    const isPreferred = this.order.merge(history, digestOf(value), this.clock.now());
+    if (isPreferred) this.apply(decoded, value, peerId);
   }
 
   private decode(value: Buffer, source: string): ServingConfiguration | undefined {
@@ -108,10 +134,11 @@
 
   private apply(configuration: ServingConfiguration, value: Buffer, source: string): void {
     const previous = this.version;
-    const { version, generation } = this.rank;
+    const { version } = configuration;
+    const position = this.order.state?.inForce.position;
     this.current = new RouteTable(configuration);
     this.currentValue = value;
-    this.logger.info('configuration in force', { version, previous, generation, source });
+    this.logger.info('configuration in force', { version, previous, position, source });
     this.changedEmitter.fire(this.current);
   }
 }
--- a/src/serving/ServingProcess.ts
+++ b/src/serving/ServingProcess.ts
@@ -29,7 +29,7 @@
 import { PeerServer } from './peers/PeerServer.js';
 import { PeerView } from './peers/PeerView.js';
 
-/** Interval of checks for delayed removals of servers and for pending configurations, in ms. */
+/** Interval of checks for delayed removals and departures of servers, in ms. */
 const DELAYED_CHANGE_INTERVAL_MS = 100;
 
 /**
@@ -107,7 +107,7 @@
     });
     const { statements, crashingParts } = this.observations;
     const { departures } = statements;
-    registerStateGauges(metrics, statements, this.storeEra);
+    registerStateGauges(metrics, statements, this.storeEra, () => this.configuration.state);
     this.directory = new ServerDirectory(clock, departures, (service) => {
       const { routeTable: routes } = this.configuration;
       return routes === undefined || routes.service(service) !== undefined;
@@ -287,7 +287,6 @@
       crashingPartTable: this.crashingPartTable,
     });
     this.delayedChangeTimer = setInterval(() => {
-      this.configuration.applySettled();
       this.observations.statements.departures.check();
       this.expireRemovals();
     }, DELAYED_CHANGE_INTERVAL_MS);
@@ -382,7 +381,7 @@
       weight: this.batchingWeight,
       isLeaving: this.isStopping,
       configurationVersion: this.configuration.version,
-      configurationGeneration: this.configuration.rank.generation,
+      configurationState: this.configuration.state,
       serverEra: this.registrations.position.era,
       serverVersion: this.registrations.position.version,
       serverDigest: this.registrations.digest,
--- a/src/serving/StateGauges.ts
+++ b/src/serving/StateGauges.ts
@@ -1,3 +1,4 @@
+import type { ConfigurationState } from '../common/serving/ConfigurationState.js';
 import type { ServerStatements } from '../common/serving/ServerStatements.js';
 import type { Metrics } from '../telemetry/Metrics.js';
 import type { StoreEra } from './StoreEra.js';
@@ -7,11 +8,13 @@
  * @param metrics - metrics of the process
  * @param statements - what servers say of themselves
  * @param storeEra - newest era of the store
+ * @param configuration - returns which configuration is in force and which one the store holds
  */
 export function registerStateGauges(
   { meter }: Metrics,
   { departures, pauses }: ServerStatements,
   storeEra: StoreEra,
+  configuration: () => ConfigurationState | undefined,
 ): void {
   meter
     .createObservableGauge('store_era', { description: 'Number of times the store was restored' })
@@ -24,4 +27,17 @@
       description: 'Servers that get no requests for now',
     })
     .addCallback((result) => result.observe(pauses.count));
+  meter
+    .createObservableGauge('configuration_version', { description: 'Configuration in force' })
+    .addCallback((result) => result.observe(configuration()?.inForce.version ?? -1));
+  meter
+    .createObservableGauge('configuration_era', {
+      description: 'Era of the store in which the configuration in force was written',
+    })
+    .addCallback((result) => result.observe(configuration()?.inForce.position.era ?? -1));
+  meter
+    .createObservableGauge('configuration_stored_version', {
+      description: 'Configuration in the store',
+    })
+    .addCallback((result) => result.observe(configuration()?.stored?.version ?? -1));
 }
--- a/src/serving/StoreFollowers.ts
+++ b/src/serving/StoreFollowers.ts
@@ -33,7 +33,7 @@
    */
   follow(
     table: string,
-    waits: Pick<TableFollowerOptions, 'pollSpacingMs' | 'maxReadGapMs'>,
+    waits: Pick<TableFollowerOptions, 'pollSpacingMs' | 'maxReadGapMs' | 'maxWaitMs'>,
     listener: Partial<TableListener> & Pick<TableListener, 'replaceAll' | 'apply'>,
   ): void {
     const { logger, fleet, random, storeEra } = this.services;
--- a/src/serving/StoreTables.ts
+++ b/src/serving/StoreTables.ts
@@ -43,11 +43,16 @@
   names: StoreNames,
   { configuration, registrations, membership, crashingPartTable }: StoreViews,
 ): void {
-  const applyConfiguration = (rows: readonly FeedRow[], era: number) =>
+  const applyConfiguration = (rows: readonly FeedRow[], era: number) => {
     rows
       .filter(({ key }) => key === names.configurationKey)
-      .forEach(({ value }) => value && configuration.applyStored(value, era));
-  followers.follow(names.configurationTable, CHANGE_WAITS, {
+      .forEach(({ value, version = 0 }) => {
+        if (value) configuration.applyStored(value, { era, version });
+      });
+    configuration.applySettled();
+  };
+  const configurationWaits = { ...CHANGE_WAITS, maxWaitMs: () => configuration.recheckMs };
+  followers.follow(names.configurationTable, configurationWaits, {
     replaceAll: (rows, { era }) => applyConfiguration(rows, era),
     apply: (rows, { era }) => applyConfiguration(rows, era),
   });
--- a/src/serving/TableFollower.ts
+++ b/src/serving/TableFollower.ts
@@ -47,6 +47,8 @@
   readonly pollSpacingMs: number;
   /** Longest pause after a change before the next read, in ms. */
   readonly maxReadGapMs: number;
+  /** @returns longest time that the next read may wait for a change, in ms; default: no limit */
+  readonly maxWaitMs?: () => number;
   readonly listener: TableListener;
   readonly logger: Logger;
   readonly storeEra: StoreEra;
@@ -169,8 +171,9 @@
 
   /** @returns time that the store may wait for a change, in ms */
   private pollWaitMs(): number {
-    const { pollSpacingMs, fleet } = this.options;
-    return pollWaitMs(pollSpacingMs, fleet(), this.isFirstPoll);
+    const { pollSpacingMs, maxWaitMs, fleet } = this.options;
+    const waitMs = pollWaitMs(pollSpacingMs, fleet(), this.isFirstPoll);
+    return Math.min(waitMs, maxWaitMs?.() ?? Infinity);
   }
 
   /** @returns wait before the next read, in ms, with jitter, so that processes take turns */
--- a/src/serving/peers/Membership.ts
+++ b/src/serving/peers/Membership.ts
@@ -1,4 +1,3 @@
-import { isNewerConfiguration } from '../../common/serving/ConfigurationOrder.js';
 import type { FeedRow, RowFeed } from '../../storage/RowFeed.js';
 import type { Logger } from '../../telemetry/Logger.js';
 import type { ConfigurationView } from '../ConfigurationView.js';
@@ -102,8 +101,7 @@
     storeEra.observe(heartbeat.serverEra);
     // The heartbeat of a peer may arrive before its row has been read.
     if (!this.members.has(heartbeat.id)) this.members.set(heartbeat.id, heartbeat.address);
-    const { configurationVersion: version, configurationGeneration: generation } = heartbeat;
-    if (isNewerConfiguration({ generation, version }, configuration.rank)) {
+    if (configuration.observe(heartbeat.configurationVersion, heartbeat.configurationState)) {
       this.pullConfiguration(heartbeat);
     }
     if (registrations.shouldCopyFrom(heartbeat)) this.pullRegistrations(heartbeat);
--- a/src/serving/peers/PeerMessages.test.ts
+++ b/src/serving/peers/PeerMessages.test.ts
@@ -5,19 +5,17 @@
 
 describe('messages of a process of an older version', () => {
   // Guards against processes that cannot copy from each other while a new version is rolled out.
-  it('are read without eras, generations and departures', () => {
-    const { serverEra, configurationGeneration, departures, ...older } = createHeartbeat('peer');
+  it('are read without eras, states and departures', () => {
+    const { serverEra, departures, ...older } = createHeartbeat('peer');
     assert.deepEqual(Heartbeat.parse(older), {
       ...older,
       serverEra,
-      configurationGeneration,
       departures,
     });
     assert.deepEqual(ConfigurationSnapshot.parse({ version: 3, value: 'eA==' }), {
-      generation: 0,
       version: 3,
-      era: 0,
       known: [],
+      knownVersions: [],
       value: 'eA==',
     });
     assert.deepEqual(RegistrationSnapshot.parse({ version: 7, rows: [['s1', 'eA==']] }), {
--- a/src/serving/peers/PeerMessages.ts
+++ b/src/serving/peers/PeerMessages.ts
@@ -1,7 +1,10 @@
 /** Messages between serving processes. */
 import { z } from 'zod';
 import { EndpointAddress } from '../../common/protocol/EndpointAddress.js';
-import { ConfigurationRank } from '../../common/serving/ConfigurationOrder.js';
+import {
+  ConfigurationHistory,
+  ConfigurationState,
+} from '../../common/serving/ConfigurationState.js';
 import { CrashEvidence } from '../../common/serving/CrashingParts.js';
 import { ServerDepartureReports } from '../../common/serving/ServerDepartures.js';
 import { ServerLimitReports } from '../../common/serving/ServerLimits.js';
@@ -22,8 +25,8 @@
   isLeaving: z.boolean(),
   /** Version of the sender's configuration; -1 for none. */
   configurationVersion: z.number(),
-  /** Generation of that configuration; older versions send none. */
-  configurationGeneration: z.number().default(0),
+  /** Where it and the store's configuration were written; older versions send none. */
+  configurationState: ConfigurationState.optional(),
   /** Era of {@link serverVersion}; older versions send none. */
   serverEra: z.number().default(0),
   /** Version of the store up to which the sender knows the registrations; -1 for none. */
@@ -101,12 +104,9 @@
 
 /**
  * The configuration of a process, encoded as in the store, and what it knows about its order. Older
- * versions send the version only.
+ * versions send no state and no numbers of the known ones.
  */
-export const ConfigurationSnapshot = ConfigurationRank.extend({
-  generation: z.number().default(0),
-  era: z.number().default(0),
-  known: z.array(z.tuple([z.number(), z.number()])).default([]),
+export const ConfigurationSnapshot = ConfigurationHistory.extend({
   /** Row value in base64. */
   value: z.string(),
 });
--- a/src/serving/peers/testing/fixtures.ts
+++ b/src/serving/peers/testing/fixtures.ts
@@ -11,7 +11,6 @@
     weight: 1,
     isLeaving: false,
     configurationVersion: 1,
-    configurationGeneration: 0,
     serverEra: 0,
     serverVersion: 1,
     serverDigest: 0,
--- a/src/storage/RowFeed.ts
+++ b/src/storage/RowFeed.ts
@@ -6,6 +6,8 @@
 export interface FeedRow {
   readonly key: string;
   readonly value?: Buffer;
+  /** Version of the store at which the row was written; absent if the store does not say it. */
+  readonly version?: number;
 }
 
 /** Rows of a table as of one version. */
