streams: what small events cost is bounded

What was seen: two of three servers that answered streams with blank lines without end ended the process by heap exhaustion; with small comments, requests of other callers ended with 504 at their time-out or without an answer.

Reading was paused after the whole chunk only, and comments had no bound.

Change: EventParser hands over positions, adjacent events are one piece. StreamFlow writes once a turn of the event loop, has one listener, ends a stream whose comments exceed idleBytesPerS, and reads one that exceeds streamBytesPerS slowly; both are replenished, so comments that keep a connection alive go on. Bytes outside a body are bounded by twice the body or framingBytes, which is 1 MiB in place of 8 now. The tests of EventParser collect what the parser hands over; what they check is the same.

--- a/src/common/response/EventParser.test.ts
+++ b/src/common/response/EventParser.test.ts
@@ -10,10 +10,14 @@
 function createParser(limitBytes = MIB) {
   const memory = new ResponseMemory(2 * MIB);
   const overflows: string[] = [];
+  const events: { bytes: Buffer; id: string | undefined; hasData: boolean }[] = [];
   const buffer = new ResponseBuffer(memory, { name: 'eventBytes', bytes: limitBytes }, (reason) =>
     overflows.push(reason),
   );
-  return { memory, overflows, parser: new EventParser(buffer) };
+  const parser = new EventParser(buffer, (bytes, start, end, id, hasData) =>
+    events.push({ bytes: Buffer.from(bytes.subarray(start, end)), id, hasData }),
+  );
+  return { memory, overflows, events, parser };
 }
 
 /** @returns the bytes divided into chunks of the given sizes, which are used in turn */
@@ -37,13 +41,13 @@
     fc.assert(
       fc.property(text, sizes, (stream, chunkSizes) => {
         const bytes = Buffer.from(stream);
-        const whole = createParser().parser;
-        const divided = createParser().parser;
-        const expected = whole.push(bytes);
-        const events = divide(bytes, chunkSizes).flatMap((chunk) => divided.push(chunk));
-        assert.deepEqual(events, expected);
-        assert.deepEqual(divided.remainder, whole.remainder);
-        const parts = [...events.map((event) => event.bytes), divided.remainder];
+        const whole = createParser();
+        const divided = createParser();
+        whole.parser.push(bytes);
+        divide(bytes, chunkSizes).forEach((chunk) => divided.parser.push(chunk));
+        assert.deepEqual(divided.events, whole.events);
+        assert.deepEqual(divided.parser.remainder, whole.parser.remainder);
+        const parts = [...divided.events.map((event) => event.bytes), divided.parser.remainder];
         assert.equal(Buffer.concat(parts).toString(), stream);
       }),
       { numRuns: 500, seed: 11 },
@@ -51,8 +55,8 @@
   });
 
   it('tells events with data from comments and empty events', () => {
-    const { parser } = createParser();
-    const events = parser.push(Buffer.from('id: 7\ndata: x\n\n: ping\n\n\n\n'));
+    const { parser, events } = createParser();
+    parser.push(Buffer.from('id: 7\ndata: x\n\n: ping\n\n\n\n'));
     assert.deepEqual(
       events.map(({ id, hasData }) => [id, hasData]),
       [
@@ -63,6 +67,23 @@
     );
   });
 
+  it('finds the ends of events and the first field of each line as the format says', () => {
+    const { parser, events } = createParser();
+    parser.push(Buffer.from('\nid: 1\nid: 2\ndata\n\n data: x\n\nxid: 3\nxdata: y\n\nid:4\ndata:'));
+    parser.push(Buffer.from(' z\n'));
+    parser.push(Buffer.from('\n\n'));
+    assert.deepEqual(
+      events.map(({ id, hasData }) => [id, hasData]),
+      [
+        ['1', false],
+        [undefined, false],
+        [undefined, false],
+        ['4', true],
+      ],
+    );
+    assert.equal(parser.remainder.toString(), '\n');
+  });
+
   it('drops an event over the limit and returns its memory', () => {
     // Guards against a server that sends bytes without the end of an event until memory runs out.
     const { memory, overflows, parser } = createParser(1000);
@@ -74,11 +95,12 @@
 
   it('parses a long event in time that is linear in its size', () => {
     // Guards against copying the incomplete event for each chunk, which takes quadratic time.
-    const { parser } = createParser();
+    const { parser, events } = createParser();
     const size = 256 * 1024;
     const startedAt = performance.now();
     for (let index = 0; index < size; index += 1) parser.push(Buffer.from('x'));
-    assert.equal(parser.push(Buffer.from('\n\n')).length, 1);
+    parser.push(Buffer.from('\n\n'));
+    assert.equal(events.length, 1);
     assert.ok(performance.now() - startedAt < 3000, 'longer than 3 s for 256 KiB');
   });
 });
--- a/src/common/response/Types.ts
+++ b/src/common/response/Types.ts
@@ -22,14 +22,25 @@
       .default(8 * MIB),
     /** Largest event of a stream, in bytes. */
     eventBytes: z.number().int().positive().default(MIB),
-    /** Largest body of a stream's response that is not a success, in bytes. */
-    errorBodyBytes: z.number().int().positive().default(MIB),
-    /** Most bytes of a response outside its body, such as chunk framing and blank lines. */
-    framingBytes: z
+    /** Most bytes of comments and empty events of a stream in a second. */
+    idleBytesPerS: z
       .number()
       .int()
       .positive()
-      .default(8 * MIB),
+      .default(64 * 1024),
+    /** Bytes of a stream that are read in a second; a faster stream is read at this rate. */
+    streamBytesPerS: z
+      .number()
+      .int()
+      .positive()
+      .default(2 * MIB),
+    /** Largest body of a stream's response that is not a success, in bytes. */
+    errorBodyBytes: z.number().int().positive().default(MIB),
+    /**
+     * Most bytes of a response outside its body, such as chunk framing and blank lines, or twice the
+     * bytes of the body if that is more.
+     */
+    framingBytes: z.number().int().positive().default(MIB),
     /** Most bytes that the process buffers for all responses in progress together. */
     totalBytes: z
       .number()
--- a/src/load/launch/Launcher.ts
+++ b/src/load/launch/Launcher.ts
@@ -37,6 +37,7 @@
    * @param binary - script without extension, relative to `target/src/bin`
    * @param settings - content of the settings file
    * @param subcommand - arguments before `--config`
+   * @param nodeOptions - options of Node.js
    * @returns the process, not started
    */
   async define(
@@ -44,6 +45,7 @@
     binary: string,
     settings: unknown,
     subcommand: readonly string[] = [],
+    nodeOptions: readonly string[] = [],
   ): Promise<ManagedProcess> {
     const settingsFile = join(this.folder, `${name}.jsonc`);
     await writeFile(settingsFile, JSON.stringify(settings, null, 2));
@@ -51,6 +53,7 @@
       name,
       binary,
       arguments: [...subcommand, '--config', settingsFile],
+      nodeOptions,
       logFile: join(this.folder, `${name}.log`),
     });
     this.processes.set(name, child);
--- a/src/load/launch/ManagedProcess.ts
+++ b/src/load/launch/ManagedProcess.ts
@@ -11,6 +11,8 @@
   /** Script without extension, relative to `target/src/bin`. */
   readonly binary: string;
   readonly arguments: readonly string[];
+  /** Options of Node.js. */
+  readonly nodeOptions: readonly string[];
   /** File that standard error is appended to. */
   readonly logFile: string;
 }
@@ -128,7 +130,8 @@
   private spawnChild(): ChildProcess {
     const { binary, logFile } = this.specification;
     const script = fileURLToPath(new URL(`../../bin/${binary}.js`, import.meta.url));
-    const child = spawn(process.execPath, [script, ...this.specification.arguments], {
+    const { nodeOptions, arguments: options } = this.specification;
+    const child = spawn(process.execPath, [...nodeOptions, script, ...options], {
       stdio: ['ignore', 'pipe', 'pipe'],
     });
     child.stderr.pipe(createWriteStream(logFile, { flags: 'a' }));
--- a/src/serving/ForwardOutcome.ts
+++ b/src/serving/ForwardOutcome.ts
@@ -38,8 +38,11 @@
   readonly headers: readonly string[];
   /** Called when the head of the response has arrived. */
   readonly onHead?: () => void;
-  /** Called on each event; the first one shows that the prefill of the prompt has ended. */
-  readonly onEvent?: () => void;
+  /**
+   * Called with the number of events that have arrived together; the first ones show that the prefill
+   * of the prompt has ended.
+   */
+  readonly onEvents?: (count: number) => void;
   /** Id of the event after which a stream resumes. */
   readonly lastEventId?: string;
 }
--- a/src/serving/RequestRunner.ts
+++ b/src/serving/RequestRunner.ts
@@ -261,9 +261,9 @@
     const options: ForwardOptions = {
       ...this.forwardOptions(request, server, progress, results),
       onHead: () => responseProgress.recordHead(),
-      onEvent: () => {
+      onEvents: (count) => {
         if (responseProgress.events === 0) request.trace.recordStep('first-event', clock.now());
-        responseProgress.recordEvent();
+        responseProgress.recordEvents(count);
         markPrefilled();
         // A stream that can resume at another server must be able to read its inputs there.
         if (!canFailOver(request)) release();
--- a/src/serving/ResponseProgress.ts
+++ b/src/serving/ResponseProgress.ts
@@ -48,9 +48,9 @@
     this.headAt ??= this.clock.now();
   }
 
-  /** Called for each event that is forwarded. */
-  recordEvent(): void {
+  /** Called with the number of events that are forwarded together. */
+  recordEvents(count: number): void {
     this.firstEventAt ??= this.clock.now();
-    this.eventCount += 1;
+    this.eventCount += count;
   }
 }
--- a/src/serving/ServerConnectionPool.ts
+++ b/src/serving/ServerConnectionPool.ts
@@ -25,6 +25,12 @@
 /** Interval at which the bytes that a server sends outside bodies are checked, in ms. */
 const FRAMING_CHECK_INTERVAL_MS = 250;
 
+/**
+ * Bytes outside the body for each byte of it, from which on a response counts as faulty. Each chunk
+ * costs a call, whatever its size.
+ */
+const MAX_FRAMING_RATIO = 2;
+
 /** A request to send to a backend server. */
 export interface ExchangeRequest {
   readonly method: string;
@@ -112,6 +118,11 @@
     private readonly limits: PoolLimits,
   ) {}
 
+  /** Limits of the responses. */
+  get responseLimits(): ResponseLimits {
+    return this.limits.responses;
+  }
+
   /**
    * @param name - name of the limit that applies
    * @param onOverflow - called with the reason if the limit is exceeded
@@ -213,12 +224,14 @@
     const fail = (message: string, isConnectionLost = false) =>
       finish(false, () => listener.onFailure({ kind: 'broken', message, isConnectionLost }));
     // The parser reports neither blank lines nor the framing of chunks, which may come without end.
-    const framingCheck = setInterval(() => {
+    const checkFraming = () => {
       const framingBytes = connection.receivedBytes - receivedBefore - bodyBytes;
-      if (framingBytes > responses.framingBytes) {
+      const limit = Math.max(responses.framingBytes, MAX_FRAMING_RATIO * bodyBytes);
+      if (framingBytes > limit) {
         fail(`response exceeds framingBytes of ${responses.framingBytes}: got ${framingBytes}`);
       }
-    }, FRAMING_CHECK_INTERVAL_MS);
+    };
+    const framingCheck = setInterval(checkFraming, FRAMING_CHECK_INTERVAL_MS);
     connection.client.dispatch(
       {
         method: request.method,
@@ -248,6 +261,7 @@
         onResponseData: (_current, chunk) => {
           bodyBytes += chunk.length;
           if (!hasEnded) listener.onData(chunk);
+          if (!hasEnded) checkFraming();
         },
         onResponseEnd: () => {
           const { hasFailed } = connection;
--- a/src/serving/StreamForwarder.ts
+++ b/src/serving/StreamForwarder.ts
@@ -1,5 +1,5 @@
 import type { Disposable } from '../common/events/Types.js';
-import { EventParser, type StreamEvent } from '../common/response/EventParser.js';
+import { EventParser } from '../common/response/EventParser.js';
 import type { ResponseBuffer } from '../common/response/ResponseBuffer.js';
 import type { BackendServer } from '../common/serving/ServingConfiguration.js';
 import { isRetryable, type CallerRequest } from './CallerRequest.js';
@@ -18,14 +18,36 @@
   ExchangeListener,
   ServerConnectionPool,
 } from './ServerConnectionPool.js';
+import { StreamFlow } from './StreamFlow.js';
 import type { ResponseAttributes } from './Types.js';
 
 const LINE_END = 0x0a;
 
-/** Forwards the event stream of one backend server to the caller, event by event. */
+/** What one chunk of a stream has completed. */
+interface ChunkSummary {
+  events: number;
+  hasData: boolean;
+  /** Bytes of comments and empty events. */
+  idleBytes: number;
+}
+
+/** Adjacent events that are forwarded together. */
+interface EventRange {
+  readonly bytes: Buffer;
+  readonly start: number;
+  end: number;
+}
+
+/** Forwards the event stream of one backend server to the caller. */
 export class StreamForwarder implements ExchangeListener {
   private parser: EventParser | undefined;
 
+  private flow: StreamFlow | undefined;
+
+  private summary: ChunkSummary = { events: 0, hasData: false, idleBytes: 0 };
+
+  private range: EventRange | undefined;
+
   /** Incomplete event of a success, or the body of any other response. */
   private buffer: ResponseBuffer | undefined;
 
@@ -44,6 +66,9 @@
   /** Whether the caller has received events, also of earlier runs. */
   private hasForwardedEvents: boolean;
 
+  /** Whether this run has sent events with data. */
+  private hasProgress = false;
+
   /** Whether this run has sent events. */
   private hasReceivedEvents = false;
 
@@ -51,6 +76,9 @@
 
   private timer: NodeJS.Timeout | undefined;
 
+  /** Time without an event with data, in ms, as of the last check of the timer. */
+  private waitedMs = 0;
+
   private subscription: Disposable | undefined;
 
   /**
@@ -96,7 +124,7 @@
         });
         return;
       }
-      this.restartTimer(this.failover?.firstAfterMs);
+      this.startTimer(this.failover?.firstAfterMs);
       this.subscription = request.cancellation.onCancelled(() =>
         this.finish({ kind: 'cancelled' }, true),
       );
@@ -112,14 +140,25 @@
     const limit = isSuccess(this.status) ? 'eventBytes' : 'errorBodyBytes';
     this.buffer = this.pool?.createBuffer(limit, (reason) => this.abort(reason));
     if (!isSuccess(this.status) || !this.buffer) return;
-    this.parser = new EventParser(this.buffer);
+    this.parser = new EventParser(this.buffer, (...event) => this.acceptEvent(...event));
+    this.flow = this.createFlow();
     const matchesAttempt = attemptId === this.request.attributes.attemptId;
     if (!matchesAttempt || !isSigned || hasContentCoding) this.abort('answer of another request');
   }
 
   onData(chunk: Buffer): void {
-    if (this.parser) this.parser.push(chunk).forEach((event) => this.forwardEvent(event));
-    else this.buffer?.append(chunk);
+    if (!this.parser) {
+      this.buffer?.append(chunk);
+      return;
+    }
+    this.summary = { events: 0, hasData: false, idleBytes: 0 };
+    this.parser.push(chunk);
+    this.sendRange();
+    const { events, hasData, idleBytes } = this.summary;
+    // Comments and repeated events are no progress: a stalled server may keep sending them.
+    if (hasData) this.recordProgress();
+    if (events > 0) this.options.onEvents?.(events);
+    this.flow?.recordReceived(chunk.length, idleBytes);
   }
 
   onEnd(): void {
@@ -138,6 +177,7 @@
       return;
     }
     this.request.response.start(this.status, this.headers);
+    this.flow?.flush();
     if (remainder.length > 0) this.request.response.write(remainder);
     this.request.response.end();
     this.finish({ kind: 'answered', status: this.status }, false);
@@ -148,19 +188,48 @@
     else this.finish(this.lossOutcome(message, isConnectionLost), false);
   }
 
-  private forwardEvent({ bytes, id, hasData }: StreamEvent): void {
+  private createFlow(): StreamFlow | undefined {
+    const { pool, request, services } = this;
+    return (
+      pool &&
+      new StreamFlow({
+        clock: services.clock,
+        limits: pool.responseLimits,
+        response: request.response,
+        exchange: () => this.exchange,
+        onExcess: (reason) => this.abort(reason),
+      })
+    );
+  }
+
+  private acceptEvent(
+    bytes: Buffer,
+    start: number,
+    end: number,
+    id: string | undefined,
+    hasData: boolean,
+  ): void {
     this.hasReceivedEvents = true;
+    const { summary, range } = this;
+    if (!hasData) summary.idleBytes += end - start;
     if (this.isDuplicate(id)) return;
-    // Comments and repeated events are no progress: a stalled server may keep sending them.
-    if (hasData) this.restartTimer(this.failover?.nextAfterMs);
+    summary.events += 1;
+    summary.hasData ||= hasData;
     this.lastEventId = id ?? this.lastEventId;
-    const { response } = this.request;
-    if (!this.hasForwardedEvents) response.start(this.status, this.headers);
+    if (range?.bytes === bytes && range.end === start) range.end = end;
+    else {
+      this.sendRange();
+      this.range = { bytes, start, end };
+    }
+  }
+
+  private sendRange(): void {
+    const { range } = this;
+    if (!range) return;
+    this.range = undefined;
+    if (!this.hasForwardedEvents) this.request.response.start(this.status, this.headers);
     this.hasForwardedEvents = true;
-    this.options.onEvent?.();
-    if (response.write(bytes)) return;
-    this.exchange?.pause();
-    response.onDrain(() => this.exchange?.resume());
+    this.flow?.send(range.bytes.subarray(range.start, range.end));
   }
 
   /** Whether the caller already received the event from an earlier run. */
@@ -200,18 +269,28 @@
     this.finish(this.lossOutcome(cause, false), true);
   }
 
-  private restartTimer(timeoutMs: number | undefined): void {
+  private startTimer(timeoutMs: number | undefined): void {
     clearInterval(this.timer);
+    this.waitedMs = 0;
     if (timeoutMs === undefined) return;
-    let waitedMs = 0;
     this.timer = setInterval(() => {
-      waitedMs += timeoutMs;
-      if (this.failover?.mayMove(waitedMs)) this.abort(`no event in ${waitedMs} ms`);
+      this.waitedMs += timeoutMs;
+      if (this.failover?.mayMove(this.waitedMs)) this.abort(`no event in ${this.waitedMs} ms`);
     }, timeoutMs);
   }
 
+  /** Restarts the time until the next event, which is another one than until the first. */
+  private recordProgress(): void {
+    if (this.hasProgress) {
+      this.waitedMs = 0;
+      this.timer?.refresh();
+    } else this.startTimer(this.failover?.nextAfterMs);
+    this.hasProgress = true;
+  }
+
   private finish(outcome: ForwardOutcome, mustAbort: boolean): void {
     clearInterval(this.timer);
+    this.flow?.dispose();
     this.subscription?.dispose();
     this.buffer?.release();
     if (mustAbort) this.exchange?.abort();
