content of other processes: what it costs is bounded, not only its bytes

What was seen: a stage server that answers with 8 MB of brackets, which is within the limit of bodies, ended the process by heap exhaustion, or no readiness check was answered for half a second.

Cause: limits counted bytes. Two bytes of JSON become an array of some fifty, and each part of a body an object of its own.

Change: stage answers are bounded by the pieces asked for, in bytes and values; releases read 16 KiB. parseJson counts the values and the nesting of a text before it parses it: pages and rows of the store, the configuration, heartbeats, messages and copies of peers, and all content of our own interface. Bodies are collected in one buffer; a response in tiny parts ends. A peer that sends ten malformed messages loses its connection.

--- a/src/agent/AgentServer.ts
+++ b/src/agent/AgentServer.ts
@@ -2,6 +2,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { nodeHTTPRequestHandler } from '@trpc/server/adapters/node-http';
+import { MAX_BODY_BYTES } from '../common/BoundedBody.js';
 import { sha256 } from '../common/Digest.js';
 import { ATTEMPT_PATH } from '../common/protocol/Attempt.js';
 import { INTERNAL_TOKEN_HEADER, TRPC_PATH, type AgentControl } from '../common/protocol/Control.js';
@@ -118,6 +119,7 @@
       req: request,
       res: response,
       path,
+      maxBodySize: MAX_BODY_BYTES,
     });
   }
 
--- a/src/agent/AttemptEndpoint.ts
+++ b/src/agent/AttemptEndpoint.ts
@@ -1,4 +1,6 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import { ByteCollector } from '../common/ByteCollector.js';
+import { PAYLOAD_BOUNDS, parseJson } from '../common/json/BoundedJson.js';
 import { canonicalJson, sha256 } from '../common/Digest.js';
 import type { Disposable } from '../common/events/Types.js';
 import type { AttemptOutput } from '../common/attempts/AttemptOutput.js';
@@ -114,21 +116,19 @@
 
 /** @returns body as text, or null if it exceeds the limit */
 async function readBody(request: IncomingMessage): Promise<string | null> {
-  const parts: Buffer[] = [];
-  let length = 0;
+  const body = new ByteCollector();
   for await (const part of request as AsyncIterable<Buffer>) {
-    length += part.length;
-    if (length > MAX_ATTEMPT_BYTES) return null;
-    parts.push(part);
+    if (body.length + part.length > MAX_ATTEMPT_BYTES) return null;
+    body.append(part);
   }
-  return Buffer.concat(parts).toString('utf8');
+  return body.bytes.toString('utf8');
 }
 
 /** @returns the attempt, or a description of the error in the body */
 function parseAttempt(text: string): Attempt | string {
   let body: unknown;
   try {
-    body = JSON.parse(text);
+    body = parseJson(text, PAYLOAD_BOUNDS);
   } catch {
     return 'the body is not JSON';
   }
--- a/src/agent/backend/BackendClient.ts
+++ b/src/agent/backend/BackendClient.ts
@@ -1,5 +1,7 @@
 import { Pool, type Dispatcher } from 'undici';
 import { isConnectError } from '../../common/ConnectError.js';
+import { PAYLOAD_BOUNDS, parseJson } from '../../common/json/BoundedJson.js';
+import { MAX_BODY_BYTES, readBoundedText } from '../../common/BoundedBody.js';
 import type { Attempt } from '../../common/protocol/Attempt.js';
 import {
   ATTEMPT_ID_HEADER,
@@ -9,7 +11,6 @@
   REQUEST_ID_HEADER,
 } from '../../common/protocol/Backend.js';
 import type { Usage } from '../../common/protocol/Usage.js';
-import { MAX_BODY_BYTES, readBoundedText } from './BoundedBody.js';
 import { usageOf } from './ReportedUsage.js';
 
 /** Timeout for connecting to the backend server, which runs next to the agent. */
@@ -122,7 +123,10 @@
     if (!response.ok) return response;
     try {
       const text = await readBoundedText(response.value.body, MAX_BODY_BYTES);
-      return { ok: true, value: { body: JSON.parse(text), headers: response.value.headers } };
+      return {
+        ok: true,
+        value: { body: parseJson(text, PAYLOAD_BOUNDS), headers: response.value.headers },
+      };
     } catch (error) {
       if (!(error instanceof SyntaxError))
         return { ok: false, error: classifyError(error, signal) };
@@ -145,7 +149,7 @@
         reset: true,
       });
       const text = await readBoundedText(response.body, MAX_ERROR_BODY_BYTES);
-      const parsed = CompletionCancelled.safeParse(JSON.parse(text));
+      const parsed = CompletionCancelled.safeParse(parseJson(text, PAYLOAD_BOUNDS));
       return parsed.success ? usageOf(parsed.data.usage) : null;
     } catch {
       return null;
--- a/src/agent/backend/BoundedBody.test.ts
+++ b/src/agent/backend/BoundedBody.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { readBoundedText } from './BoundedBody.js';
+import { readBoundedText } from '../../common/BoundedBody.js';
 import { readEventData } from './ServerSentEvents.js';
 
 /** Yields the same bytes until the reader stops, and counts the yielded chunks. */
--- a/src/agent/backend/GenerateHandler.ts
+++ b/src/agent/backend/GenerateHandler.ts
@@ -1,5 +1,6 @@
 /** Streams a completion from a model engine and resumes it on a new connection if one breaks. */
 import type { Dispatcher } from 'undici';
+import { parseJson } from '../../common/json/BoundedJson.js';
 import { CompletionChunk, type CompletionRequest } from '../../common/protocol/Backend.js';
 import { GenerateInput } from '../../common/protocol/StageData.js';
 import type { BackendCall } from '../Types.js';
@@ -17,6 +18,9 @@
  */
 const STALL_TIMEOUT_MS = 2000;
 
+/** Bounds of one chunk of a completion. */
+const CHUNK_BOUNDS = { maxValues: 10_000 };
+
 const END_OF_STREAM = '[DONE]';
 
 /** Result of one connection: the usage, or null if the stream ended before it was complete. */
@@ -93,7 +97,7 @@
     if (!hasStarted) onProgress();
     hasStarted = true;
     if (data === END_OF_STREAM) break;
-    const chunk = CompletionChunk.parse(JSON.parse(data));
+    const chunk = CompletionChunk.parse(parseJson(data, CHUNK_BOUNDS));
     if (chunk.usage) usage = usageOf(chunk.usage);
     const chunkText = chunk.choices[0]?.text ?? '';
     const isNew = chunk.offset === call.nextOffset();
--- a/src/agent/orders/HttpOrderTarget.ts
+++ b/src/agent/orders/HttpOrderTarget.ts
@@ -1,4 +1,6 @@
 import { request, type Dispatcher } from 'undici';
+import { MAX_BODY_BYTES, readBoundedText } from '../../common/BoundedBody.js';
+import { PAYLOAD_BOUNDS, parseJson } from '../../common/json/BoundedJson.js';
 import { OrderState, type Order } from '../../common/protocol/Backend.js';
 import type { OrderTarget } from './Types.js';
 
@@ -37,7 +39,8 @@
     try {
       const signal = AbortSignal.timeout(timeoutMs);
       const response = await request(this.url, { ...options, signal });
-      return { status: response.statusCode, body: await response.body.json() };
+      const text = await readBoundedText(response.body, MAX_BODY_BYTES);
+      return { status: response.statusCode, body: parseJson(text, PAYLOAD_BOUNDS) };
     } catch {
       return null;
     }
--- a/src/entry/Admission.ts
+++ b/src/entry/Admission.ts
@@ -1,5 +1,6 @@
 /** Validates a caller's request before any stage is dispatched, so every refusal is `not-run`. */
 import type { IncomingHttpHeaders } from 'node:http';
+import { PAYLOAD_BOUNDS, parseJson } from '../common/json/BoundedJson.js';
 import { sha256 } from '../common/Digest.js';
 import { createPipelinePlan, type PipelinePlan } from '../common/pipeline/PipelinePlan.js';
 import type { CallerErrorKind } from '../common/protocol/CallerError.js';
@@ -116,7 +117,7 @@
 function parseBody(body: string): ValidationResult<CallerRequest> {
   let value: unknown;
   try {
-    value = JSON.parse(body);
+    value = parseJson(body, PAYLOAD_BOUNDS);
   } catch (error) {
     return refuse('bad-request', `the body is not JSON: ${(error as Error).message}`);
   }
--- a/src/entry/AgentClient.ts
+++ b/src/entry/AgentClient.ts
@@ -1,6 +1,7 @@
 import { createTRPCClient, httpLink, type TRPCClient } from '@trpc/client';
 import { LRUCache } from 'lru-cache';
 import { Agent, Client } from 'undici';
+import { fetchBounded } from '../common/json/BoundedFetch.js';
 import type { AgentRouter } from '../agent/AgentRouter.js';
 import type { AttemptStatus, RevisionNotice } from '../common/protocol/Attempt.js';
 import type { Change } from '../common/protocol/Configuration.js';
@@ -136,7 +137,13 @@
     const cached = this.controlClients.get(address);
     if (cached) return cached;
     const client = createTRPCClient<AgentRouter>({
-      links: [httpLink({ url: `http://${address}${TRPC_PATH}`, headers: () => this.headers() })],
+      links: [
+        httpLink({
+          url: `http://${address}${TRPC_PATH}`,
+          headers: () => this.headers(),
+          fetch: fetchBounded,
+        }),
+      ],
     });
     this.controlClients.set(address, client);
     return client;
--- a/src/entry/EntryServer.ts
+++ b/src/entry/EntryServer.ts
@@ -2,6 +2,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { Server as NetServer, type AddressInfo } from 'node:net';
 import { nodeHTTPRequestHandler } from '@trpc/server/adapters/node-http';
+import { MAX_BODY_BYTES } from '../common/BoundedBody.js';
 import { INTERNAL_TOKEN_HEADER, TRPC_PATH } from '../common/protocol/Control.js';
 import type { Logger } from '../telemetry/Logger.js';
 import type { EntryRouter } from './EntryRouter.js';
@@ -107,6 +108,7 @@
       req: request,
       res: response,
       path,
+      maxBodySize: MAX_BODY_BYTES,
       createContext: () => ({}),
     });
     return true;
--- a/src/entry/FrameCheck.ts
+++ b/src/entry/FrameCheck.ts
@@ -1,4 +1,5 @@
 /** Validates that a frame belongs to the attempt that was sent and that its result is intact. */
+import { PAYLOAD_BOUNDS, parseJson } from '../common/json/BoundedJson.js';
 import { sha256 } from '../common/Digest.js';
 import type { Frame } from '../common/protocol/Attempt.js';
 import type { AttemptContent, ResultFrame } from './Types.js';
@@ -24,7 +25,7 @@
 
 function isJson(text: string): boolean {
   try {
-    JSON.parse(text);
+    parseJson(text, PAYLOAD_BOUNDS);
     return true;
   } catch {
     return false;
--- a/src/entry/FrameReader.ts
+++ b/src/entry/FrameReader.ts
@@ -1,3 +1,4 @@
+import { PAYLOAD_BOUNDS, parseJson } from '../common/json/BoundedJson.js';
 import { Frame } from '../common/protocol/Attempt.js';
 
 /** Largest accepted line, in characters; holds a result with the largest output after escaping. */
@@ -28,7 +29,7 @@
 function parseFrame(line: string): Frame | null {
   let value: unknown;
   try {
-    value = JSON.parse(line);
+    value = parseJson(line, PAYLOAD_BOUNDS);
   } catch {
     return null;
   }
--- a/src/entry/HttpBody.ts
+++ b/src/entry/HttpBody.ts
@@ -1,5 +1,6 @@
 /** Reads request bodies and writes JSON responses. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import { ByteCollector } from '../common/ByteCollector.js';
 
 /** Outcome of reading a body. */
 export type BodyResult =
@@ -20,17 +21,17 @@
  */
 export function readBody(request: IncomingMessage, maxBytes: number): Promise<BodyResult> {
   return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
+    const body = new ByteCollector();
     let bytes = 0;
     request.on('data', (chunk: Buffer) => {
       bytes += chunk.length;
-      if (bytes <= maxBytes) chunks.push(chunk);
-      else chunks.length = 0;
+      if (bytes <= maxBytes) body.append(chunk);
+      else body.release();
       if (bytes > MAX_DISCARD_FACTOR * maxBytes) resolve({ ok: false, reason: 'too-large' });
     });
     request.on('end', () => {
       if (bytes > maxBytes) resolve({ ok: false, reason: 'too-large' });
-      else resolve({ ok: true, text: Buffer.concat(chunks).toString('utf8') });
+      else resolve({ ok: true, text: body.bytes.toString('utf8') });
     });
     request.on('error', () => resolve({ ok: false, reason: 'aborted' }));
     request.on('close', () => resolve({ ok: false, reason: 'aborted' }));
--- a/src/entry/StageRun.ts
+++ b/src/entry/StageRun.ts
@@ -1,4 +1,5 @@
 import { setTimeout as sleep } from 'node:timers/promises';
+import { PAYLOAD_BOUNDS, parseJson } from '../common/json/BoundedJson.js';
 import type { Claim } from '../common/protocol/Claim.js';
 import type { RequestOutcome } from '../common/protocol/CallerError.js';
 import { NO_USAGE } from '../common/protocol/Usage.js';
@@ -207,7 +208,7 @@
 
   private finish(text: string, usage: ResultFrame['usage'], replayed: boolean): StageEnd {
     const { stage, context } = this.task;
-    const output: unknown = JSON.parse(text);
+    const output = parseJson(text, PAYLOAD_BOUNDS);
     const problem = this.services.schemas.findProblem(stage.outputSchema, output);
     if (problem) {
       const message = `output of stage "${stage.name}": ${problem}`;
--- a/src/entry/operator/OperatorApi.ts
+++ b/src/entry/operator/OperatorApi.ts
@@ -1,6 +1,8 @@
 /** HTTP API for operators: authenticates calls, routes them and converts bodies. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { AgentRouter } from '../../agent/AgentRouter.js';
+import { ByteCollector } from '../../common/ByteCollector.js';
+import { PAYLOAD_BOUNDS, parseJson } from '../../common/json/BoundedJson.js';
 import { sha256 } from '../../common/Digest.js';
 import { MAX_REQUEST_BYTES } from '../../common/protocol/CallerRequest.js';
 import { OPERATOR_ERROR_STATUS, OPERATOR_PATH } from '../../common/protocol/Operator.js';
@@ -112,18 +114,16 @@
 }
 
 async function readBody(request: IncomingMessage): Promise<unknown> {
-  const chunks: Buffer[] = [];
-  let length = 0;
+  const body = new ByteCollector();
   // Leaving the loop must not destroy the connection, or the error could not be sent.
   const parts = request.iterator({ destroyOnReturn: false }) as AsyncIterable<Buffer>;
   for await (const chunk of parts) {
-    length += chunk.length;
-    if (length > MAX_REQUEST_BYTES) {
+    if (body.length + chunk.length > MAX_REQUEST_BYTES) {
       throw new RangeError(`the body is larger than ${MAX_REQUEST_BYTES} bytes`);
     }
-    chunks.push(chunk);
+    body.append(chunk);
   }
-  return length === 0 ? null : JSON.parse(Buffer.concat(chunks).toString('utf8'));
+  return body.length === 0 ? null : parseJson(body.bytes.toString('utf8'), PAYLOAD_BOUNDS);
 }
 
 function sendOutcome(response: ServerResponse, outcome: OperatorOutcome): void {
--- a/src/follower/ConfigurationClients.ts
+++ b/src/follower/ConfigurationClients.ts
@@ -2,6 +2,7 @@
 import { createTRPCClient, httpLink, type TRPCClient } from '@trpc/client';
 import type { AnyRouter } from '@trpc/server';
 import { LRUCache } from 'lru-cache';
+import { fetchBounded } from '../common/json/BoundedFetch.js';
 import { INTERNAL_TOKEN_HEADER, TRPC_PATH } from '../common/protocol/Control.js';
 import type { EntryRouter } from '../entry/EntryRouter.js';
 import type { Instance } from '../common/protocol/Membership.js';
@@ -38,6 +39,7 @@
     const cached = clients.get(address);
     if (cached) return cached;
     const link = httpLink({
+      fetch: fetchBounded,
       url: `http://${address}${TRPC_PATH}`,
       headers: { [INTERNAL_TOKEN_HEADER]: `Bearer ${internalToken}` },
     });
--- a/src/serving/BufferedCall.ts
+++ b/src/serving/BufferedCall.ts
@@ -25,6 +25,8 @@
   readonly timeoutMs: number;
   /** Ends the exchange sooner if another server may serve the request instead. */
   readonly failover?: Failover;
+  /** Most bytes of the body, if that is less than the limit of all bodies. */
+  readonly maxBodyBytes?: number;
   /** Aborts the exchange. */
   readonly cancellation?: Cancellation;
   /** Called when the head of the response has arrived. */
@@ -61,7 +63,7 @@
       exchange?.abort();
       fail({ kind: 'broken', message, isConnectionLost: false });
     };
-    const body = pool.createBuffer('bodyBytes', abort);
+    const body = pool.createBuffer('bodyBytes', abort, options.maxBodyBytes);
     exchange = pool.send(request, {
       onHead: (status, headers) => {
         Object.assign(head, { status, headers });
--- a/src/serving/CrashingPartTable.ts
+++ b/src/serving/CrashingPartTable.ts
@@ -1,5 +1,6 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { z } from 'zod';
+import { parseJson } from '../common/json/BoundedJson.js';
 import type { CrashingParts } from '../common/serving/CrashingParts.js';
 import type { Clock } from '../common/time/Types.js';
 import type { FeedRow, RowFeed } from '../storage/RowFeed.js';
@@ -15,6 +16,9 @@
  */
 const WRITE_SPREAD_MS = 1000;
 
+/** Bounds of a row; those of other writers may have any form. */
+const ROW_BOUNDS = { maxValues: 10_000 };
+
 /** Row of a prompt part that crashes servers, with the evidence against it. */
 const StoredPart = z.object({
   suspects: z.array(z.string()),
@@ -164,7 +168,7 @@
 
 function parseRow(value: Buffer): StoredPart | undefined {
   try {
-    return StoredPart.parse(JSON.parse(value.toString('utf8')));
+    return StoredPart.parse(parseJson(value.toString('utf8'), ROW_BOUNDS));
   } catch {
     // The caller reports an invalid row.
     return undefined;
--- a/src/serving/Ingress.ts
+++ b/src/serving/Ingress.ts
@@ -1,5 +1,6 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import { ByteCollector } from '../common/ByteCollector.js';
 import { Cancellation } from '../common/events/Cancellation.js';
 import type { RouteTable } from '../common/serving/RouteTable.js';
 import type { RequestLimits, Route } from '../common/serving/ServingConfiguration.js';
@@ -227,8 +228,7 @@
     maxBytes: number,
   ): Promise<Buffer | undefined> {
     return new Promise((resolve) => {
-      const chunks: Buffer[] = [];
-      let size = 0;
+      const body = new ByteCollector();
       const refuse = () => {
         message.removeAllListeners('data');
         message.resume();
@@ -240,11 +240,10 @@
         return;
       }
       message.on('data', (chunk: Buffer) => {
-        size += chunk.length;
-        chunks.push(chunk);
-        if (size > maxBytes) refuse();
+        if (body.length + chunk.length > maxBytes) refuse();
+        else body.append(chunk);
       });
-      message.on('end', () => resolve(Buffer.concat(chunks)));
+      message.on('end', () => resolve(body.bytes));
       message.on('error', () => resolve(undefined));
       message.on('close', () => resolve(undefined));
     });
--- a/src/serving/ServerConnectionPool.ts
+++ b/src/serving/ServerConnectionPool.ts
@@ -126,11 +126,17 @@
   /**
    * @param name - name of the limit that applies
    * @param onOverflow - called with the reason if the limit is exceeded
+   * @param maxBytes - most bytes that were asked for, if that is less than the limit
    * @returns buffer for the bytes of one response
    */
-  createBuffer(name: BufferLimit, onOverflow: (reason: string) => void): ResponseBuffer {
+  createBuffer(
+    name: BufferLimit,
+    onOverflow: (reason: string) => void,
+    maxBytes = Infinity,
+  ): ResponseBuffer {
     const { responses, memory } = this.limits;
-    return new ResponseBuffer(memory, { name, bytes: responses[name] }, onOverflow);
+    const bytes = Math.min(responses[name], maxBytes);
+    return new ResponseBuffer(memory, { name, bytes }, onOverflow);
   }
 
   /**
--- a/src/serving/StageBatcher.ts
+++ b/src/serving/StageBatcher.ts
@@ -18,6 +18,7 @@
 import { bufferedCall } from './BufferedCall.js';
 import type { RetryBudgets } from './RetryBudgets.js';
 import type { BackendConnections } from './BackendConnections.js';
+import { MAX_RELEASE_RESPONSE_BYTES, maxStageResponseBytes } from './StageCallBounds.js';
 import type { ServingProtocol } from './Types.js';
 
 /** Time-out of a call as a multiple of its expected time; slow servers take up to five times. */
@@ -311,7 +312,10 @@
     const response = await bufferedCall(
       connections.to(server),
       { ...request, needsNewConnection: false },
-      { timeoutMs: expectedMs * CALL_TIMEOUT_FACTOR },
+      {
+        timeoutMs: expectedMs * CALL_TIMEOUT_FACTOR,
+        maxBodyBytes: maxStageResponseBytes(pieces.length),
+      },
     );
     const outcome = this.outcomeOf(response, pieces.length);
     logger[outcome.kind === 'answered' ? 'info' : 'warn']('stage call ended', {
@@ -333,13 +337,10 @@
     pieces: number,
   ): CallOutcome {
     const { protocol } = this.services;
-    if (response.kind === 'failed') {
-      return { kind: response.failure.kind };
-    }
+    if (response.kind === 'failed') return { kind: response.failure.kind };
     if (response.status === 200) {
-      const outcomes = protocol.parseStageOutcomes(response.body.toString('utf8'));
-      if (outcomes?.length === pieces) return { kind: 'answered', pieces: outcomes };
-      return { kind: 'broken' };
+      const outcomes = protocol.parseStageOutcomes(response.body.toString('utf8'), pieces);
+      return outcomes?.length === pieces ? { kind: 'answered', pieces: outcomes } : { kind: 'broken' };
     }
     const { isNotExecuted } = protocol.parseResponse(response.headers);
     return { kind: isNotExecuted ? 'not-executed' : 'broken' };
@@ -383,7 +384,7 @@
     bufferedCall(
       connections.to(server),
       { ...request, needsNewConnection: false },
-      { timeoutMs: RELEASE_TIMEOUT_MS },
+      { timeoutMs: RELEASE_TIMEOUT_MS, maxBodyBytes: MAX_RELEASE_RESPONSE_BYTES },
     ).then(
       (response) => {
         if (response.kind === 'answered') this.send({ type: 'released', server, handles });
--- a/src/serving/Types.ts
+++ b/src/serving/Types.ts
@@ -88,7 +88,7 @@
    */
   createStageCall(serverId: string, pieces: readonly PieceReference[], now: number): OutgoingCall;
   /** @returns outcomes in the order of the pieces; undefined if the body is invalid */
-  parseStageOutcomes(body: string): PieceOutcome[] | undefined;
+  parseStageOutcomes(body: string, pieces: number): PieceOutcome[] | undefined;
   /** @returns call that releases stage results at the server */
   createReleaseCall(serverId: string, handles: readonly string[]): OutgoingCall;
   /** @returns address of the server that stores the result of a handle */
--- a/src/serving/peers/ChannelServer.ts
+++ b/src/serving/peers/ChannelServer.ts
@@ -5,6 +5,9 @@
 import { JsonLinesConnection } from './JsonLinesConnection.js';
 import { ChannelRequest, type StageRequest } from './PeerMessages.js';
 
+/** Malformed messages after which a connection is closed; a later version may send a few. */
+const MAX_MALFORMED_MESSAGES = 10;
+
 /** Runs the stages that peers request. */
 export interface PeerStageHandler {
   runStage(request: StageRequest, cancellation: Cancellation): Promise<TaskOutcome>;
@@ -52,9 +55,12 @@
   private accept(socket: Socket): void {
     const cancellations = new Map<number, Cancellation>();
     this.sockets.add(socket);
-    const messages: JsonLinesConnection = new JsonLinesConnection(socket, (message) =>
-      this.handle(message, handlers),
-    );
+    let malformed = 0;
+    const messages: JsonLinesConnection = new JsonLinesConnection(socket, (message) => {
+      if (this.handle(message, handlers)) return;
+      malformed += 1;
+      if (malformed >= MAX_MALFORMED_MESSAGES) throw new Error('too many malformed messages');
+    });
     const handlers: Handlers = {
       run: ({ id, order }) => {
         const cancellation = new Cancellation();
@@ -78,13 +84,15 @@
     });
   }
 
-  private handle(message: unknown, handlers: Handlers): void {
+  /** @returns whether the message was valid */
+  private handle(message: unknown, handlers: Handlers): boolean {
     const parsed = ChannelRequest.safeParse(message);
     if (!parsed.success) {
       this.logger.warn('malformed peer message ignored', { reason: parsed.error.message });
-      return;
+      return false;
     }
     const handler = handlers[parsed.data.type] as (value: ChannelRequest) => void;
     handler(parsed.data);
+    return true;
   }
 }
--- a/src/serving/peers/Membership.ts
+++ b/src/serving/peers/Membership.ts
@@ -1,3 +1,4 @@
+import { parseJson as parseBounded } from '../../common/json/BoundedJson.js';
 import type { FeedRow, RowFeed } from '../../storage/RowFeed.js';
 import type { Logger } from '../../telemetry/Logger.js';
 import type { ConfigurationView } from '../ConfigurationView.js';
@@ -17,6 +18,9 @@
 /** Time-out for copying the configuration or the registrations of a peer, in ms. */
 const PULL_TIMEOUT_MS = 1000;
 
+/** Bounds of a row; those of other writers may have any form. */
+const ROW_BOUNDS = { maxValues: 100 };
+
 /** Dependencies of {@link Membership}. */
 export interface MembershipServices {
   readonly ownRow: MemberRow;
@@ -141,7 +145,7 @@
 
 function parseJson(value: Buffer): unknown {
   try {
-    return JSON.parse(value.toString('utf8'));
+    return parseBounded(value.toString('utf8'), ROW_BOUNDS);
   } catch {
     // The schema check that follows rejects it.
     return undefined;
--- a/src/serving/peers/PeerClients.ts
+++ b/src/serving/peers/PeerClients.ts
@@ -1,5 +1,6 @@
 import { createTRPCClient, httpLink, type TRPCClient } from '@trpc/client';
 import { LRUCache } from 'lru-cache';
+import { fetchBounded } from '../../common/json/BoundedFetch.js';
 import type { Logger } from '../../telemetry/Logger.js';
 import { ChannelClient } from './ChannelClient.js';
 import type { Heartbeat } from './PeerMessages.js';
@@ -23,7 +24,7 @@
   clientFor(address: string): TRPCClient<PeerRouter> {
     const known = this.clients.get(address);
     if (known) return known;
-    const links = [httpLink({ url: `http://${address}${PEER_PATH}` })];
+    const links = [httpLink({ url: `http://${address}${PEER_PATH}`, fetch: fetchBounded })];
     const client = createTRPCClient<PeerRouter>({ links });
     this.clients.set(address, client);
     return client;
--- a/src/serving/peers/PeerServer.ts
+++ b/src/serving/peers/PeerServer.ts
@@ -1,6 +1,7 @@
 import { createSocket, type Socket } from 'node:dgram';
 import { createServer, type Server } from 'node:http';
 import { createHTTPHandler } from '@trpc/server/adapters/standalone';
+import { parseJson } from '../../common/json/BoundedJson.js';
 import type { Metrics } from '../../telemetry/Metrics.js';
 import type { Logger } from '../../telemetry/Logger.js';
 import { PEER_PATH } from './PeerClients.js';
@@ -10,6 +11,12 @@
 /** Heartbeat interval, in ms. Peers detect a dead process in about a second. */
 export const HEARTBEAT_INTERVAL_MS = 250;
 
+/** Bounds of a heartbeat, which fits in one datagram. */
+const HEARTBEAT_BOUNDS = { maxValues: 20_000 };
+
+/** Largest body of a call; calls of peers are queries without one. */
+const MAX_CALL_BYTES = 64 * 1024;
+
 /** Options of {@link PeerServer}. */
 export interface PeerServerOptions {
   readonly ip: string;
@@ -35,7 +42,11 @@
 
   constructor(private readonly options: PeerServerOptions) {
     const { router, metrics } = options;
-    const handle = createHTTPHandler({ router, basePath: `${PEER_PATH}/` });
+    const handle = createHTTPHandler({
+      router,
+      basePath: `${PEER_PATH}/`,
+      maxBodySize: MAX_CALL_BYTES,
+    });
     this.server = createServer((request, response) => {
       if (request.url === '/metrics') metrics.handle(request, response);
       else handle(request, response);
@@ -76,7 +87,7 @@
 
   private receive(data: Buffer): void {
     try {
-      this.options.onHeartbeat(Heartbeat.parse(JSON.parse(data.toString('utf8'))));
+      this.options.onHeartbeat(Heartbeat.parse(parseJson(data.toString('utf8'), HEARTBEAT_BOUNDS)));
     } catch (error) {
       this.options.logger.warn('malformed heartbeat ignored', { error });
     }
--- a/src/storage/HttpCaller.ts
+++ b/src/storage/HttpCaller.ts
@@ -1,7 +1,8 @@
 import { promisify } from 'node:util';
-import { gunzip } from 'node:zlib';
+import { gunzip, type ZlibOptions } from 'node:zlib';
 import { Agent, type Dispatcher } from 'undici';
 import type { IncomingHttpHeaders } from 'undici/types/header.js';
+import { MAX_BODY_BYTES, readBoundedBytes, readBoundedText } from '../common/BoundedBody.js';
 import { isConnectError } from '../common/ConnectError.js';
 import type { CallOptions, PlatformError, PlatformResult } from './Types.js';
 
@@ -9,8 +10,6 @@
 const MAX_CONNECTIONS = 32;
 const KEEP_ALIVE_TIMEOUT_MS = 10_000;
 
-/** Largest response, in bytes: above the largest object and the largest page of rows. */
-const MAX_RESPONSE_BYTES = 16 * 1024 * 1024;
 /** The content is unchanged since the entity tag sent with `If-None-Match` (RFC 9110). */
 export const STATUS_NOT_MODIFIED = 304;
 const STATUS_CONFLICT = 409;
@@ -18,7 +17,7 @@
 const STATUS_SERVER_ERROR = 500;
 const STATUS_UNAVAILABLE = 503;
 
-const decompress = promisify(gunzip);
+const decompress = promisify<Buffer, ZlibOptions, Buffer>(gunzip);
 
 /** One call to a platform service. */
 export interface HttpCall {
@@ -140,14 +139,14 @@
     keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
     headersTimeout: 0,
     bodyTimeout: 0,
-    maxResponseSize: MAX_RESPONSE_BYTES,
   });
 }
 
 async function readText(response: Dispatcher.ResponseData): Promise<string> {
-  if (response.headers['content-encoding'] !== 'gzip') return response.body.text();
-  const text = await decompress(await response.body.arrayBuffer());
-  return text.toString('utf8');
+  const { body, headers } = response;
+  if (headers['content-encoding'] !== 'gzip') return readBoundedText(body, MAX_BODY_BYTES);
+  const compressed = await readBoundedBytes(body, MAX_BODY_BYTES);
+  return (await decompress(compressed, { maxOutputLength: MAX_BODY_BYTES })).toString('utf8');
 }
 
 function headersOf(call: HttpCall): Record<string, string> {
--- a/src/storage/ResponseBody.ts
+++ b/src/storage/ResponseBody.ts
@@ -1,5 +1,6 @@
 /** Validates JSON bodies of platform services. */
 import { z } from 'zod';
+import { PAYLOAD_BOUNDS, parseJson } from '../common/json/BoundedJson.js';
 import type { PlatformResult } from './Types.js';
 
 /** A row in bodies of the table service. */
@@ -30,7 +31,7 @@
 ): PlatformResult<z.infer<S>> {
   let json: unknown;
   try {
-    json = JSON.parse(text);
+    json = parseJson(text, PAYLOAD_BOUNDS);
   } catch {
     return { ok: false, error: { kind: errorKind, message: 'response body is not JSON' } };
   }
