stages: an answer counts only if it is tied to its call

Cause: a stage server repeated the answer to an earlier call where the next one was expected, and any answer with as many outcomes as pieces counted.

Change: stage calls carry an id; an answer with another one is broken. A connection is used again only after an answer that is tied to its call, also for plain calls and streams. StageCaller takes sending and checking out of StageBatcher.

--- a/src/serving/BufferedCall.ts
+++ b/src/serving/BufferedCall.ts
@@ -27,6 +27,11 @@
   readonly failover?: Failover;
   /** Most bytes of the body, if that is less than the limit of all bodies. */
   readonly maxBodyBytes?: number;
+  /**
+   * Called with a whole response. After one that is not tied to the call, the connection is closed,
+   * since the response that belongs to the call may still come.
+   */
+  readonly isTied?: (response: Extract<BufferedResponse, { kind: 'answered' }>) => boolean;
   /** Aborts the exchange. */
   readonly cancellation?: Cancellation;
   /** Called when the head of the response has arrived. */
@@ -70,7 +75,12 @@
         options.onHead?.();
       },
       onData: (chunk) => body.append(chunk),
-      onEnd: () => settle({ kind: 'answered', ...head, body: body.finish() }),
+      onEnd: () => {
+        const response = { kind: 'answered', ...head, body: body.finish() } as const;
+        const isTied = options.isTied?.(response) ?? true;
+        settle(response);
+        return isTied;
+      },
       onFailure: fail,
     });
     if (!exchange) {
--- a/src/serving/BufferedForwarder.ts
+++ b/src/serving/BufferedForwarder.ts
@@ -52,6 +52,8 @@
     },
     {
       timeoutMs,
+      isTied: ({ headers }) =>
+        protocol.parseResponse(headers).attemptId === request.attributes.attemptId,
       ...(failover && { failover }),
       ...(cancellation && { cancellation }),
       ...(options.onHead && { onHead: options.onHead }),
--- a/src/serving/ServerConnectionPool.ts
+++ b/src/serving/ServerConnectionPool.ts
@@ -63,8 +63,11 @@
    */
   onHead(status: number, headers: string[]): void;
   onData(chunk: Buffer): void;
-  /** Called when the body has ended and is complete according to its framing. */
-  onEnd(): void;
+  /**
+   * Called when the body has ended and is complete according to its framing.
+   * @returns whether the response belongs to the request, so that the connection may be used again
+   */
+  onEnd(): boolean;
   /** Called instead of {@link onEnd} if the exchange failed. */
   onFailure(failure: ExchangeFailure): void;
 }
@@ -227,6 +230,12 @@
       this.release(connection, isReusable);
       report();
     };
+    const complete = () => {
+      if (hasEnded) return;
+      hasEnded = true;
+      clearInterval(framingCheck);
+      this.release(connection, listener.onEnd());
+    };
     const fail = (message: string, isConnectionLost = false) =>
       finish(false, () => listener.onFailure({ kind: 'broken', message, isConnectionLost }));
     // The parser reports neither blank lines nor the framing of chunks, which may come without end.
@@ -272,7 +281,7 @@
         onResponseEnd: () => {
           const { hasFailed } = connection;
           if (hasFailed) fail('connection reset', true);
-          else finish(true, () => listener.onEnd());
+          else complete();
         },
         onResponseError: (_current, error) => {
           const isConnectionLost = isSent && CONNECTION_LOST_CODES.has(errorCode(error));
--- a/src/serving/StageBatcher.ts
+++ b/src/serving/StageBatcher.ts
@@ -18,12 +18,10 @@
 import { bufferedCall } from './BufferedCall.js';
 import type { RetryBudgets } from './RetryBudgets.js';
 import type { BackendConnections } from './BackendConnections.js';
-import { MAX_RELEASE_RESPONSE_BYTES, maxStageResponseBytes } from './StageCallBounds.js';
+import { MAX_RELEASE_RESPONSE_BYTES } from './StageCallBounds.js';
+import { StageCaller } from './StageCaller.js';
 import type { ServingProtocol } from './Types.js';
 
-/** Time-out of a call as a multiple of its expected time; slow servers take up to five times. */
-const CALL_TIMEOUT_FACTOR = 6;
-
 /** Time for which released handles are collected, in ms, so that one call releases many results. */
 const RELEASE_DELAY_MS = 12;
 /** Interval of the calls that release results at a server that takes none now, in ms. */
@@ -106,6 +104,8 @@
 
   private readonly actor: Ref<BatcherMessage>;
 
+  private readonly caller: StageCaller;
+
   private readonly ticker: NodeJS.Timeout;
 
   private readonly planTimers = new Map<string, NodeJS.Timeout>();
@@ -129,6 +129,7 @@
   };
 
   constructor(private readonly services: StageBatcherServices) {
+    this.caller = new StageCaller(services);
     this.actor = spawn(
       this.system,
       (_state: undefined, message: BatcherMessage) => {
@@ -305,26 +306,17 @@
   }
 
   private async sendCall(service: string, call: PlannedCall): Promise<void> {
-    const { protocol, connections, clock, logger } = this.services;
+    const { clock, logger } = this.services;
     const { server, pieces, callId, expectedMs } = call;
     const startedAt = clock.now();
-    const request = protocol.createStageCall(server.id, pieces, startedAt);
-    const response = await bufferedCall(
-      connections.to(server),
-      { ...request, needsNewConnection: false },
-      {
-        timeoutMs: expectedMs * CALL_TIMEOUT_FACTOR,
-        maxBodyBytes: maxStageResponseBytes(pieces.length),
-      },
-    );
-    const outcome = this.outcomeOf(response, pieces.length);
+    const { outcome, cause } = await this.caller.send(call);
     logger[outcome.kind === 'answered' ? 'info' : 'warn']('stage call ended', {
       service,
       server: server.id,
       pieces: pieces.length,
       outcome: outcome.kind,
       results: outcome.kind === 'answered' ? countOutcomes(outcome.pieces) : undefined,
-      cause: response.kind === 'failed' ? response.failure.message : response.status,
+      cause,
       expectedMs: Math.round(expectedMs),
       durationMs: Math.round(clock.now() - startedAt),
       waiting: this.queues.get(service)?.waitingPieceCount,
@@ -332,20 +324,6 @@
     this.send({ type: 'call-ended', service, callId, outcome });
   }
 
-  private outcomeOf(
-    response: Awaited<ReturnType<typeof bufferedCall>>,
-    pieces: number,
-  ): CallOutcome {
-    const { protocol } = this.services;
-    if (response.kind === 'failed') return { kind: response.failure.kind };
-    if (response.status === 200) {
-      const outcomes = protocol.parseStageOutcomes(response.body.toString('utf8'), pieces);
-      return outcomes?.length === pieces ? { kind: 'answered', pieces: outcomes } : { kind: 'broken' };
-    }
-    const { isNotExecuted } = protocol.parseResponse(response.headers);
-    return { kind: isNotExecuted ? 'not-executed' : 'broken' };
-  }
-
   private release(handles: readonly string[]): void {
     handles.forEach((handle) => {
       const address = this.services.protocol.addressOfResult(handle);
--- a/src/serving/StreamForwarder.ts
+++ b/src/serving/StreamForwarder.ts
@@ -161,11 +161,16 @@
     this.flow?.recordReceived(chunk.length, idleBytes);
   }
 
-  onEnd(): void {
-    if (!this.parser) {
-      this.finish(this.failureOutcome(), false);
-      return;
-    }
+  onEnd(): boolean {
+    const { attemptId } = this.request.attributes;
+    const isReusable = this.attributes?.attemptId === attemptId;
+    if (this.parser) this.endStream();
+    else this.finish(this.failureOutcome(), false);
+    return isReusable;
+  }
+
+  private endStream(): void {
+    if (!this.parser) return;
     const remainder = Buffer.from(this.parser.remainder);
     if (remainder.some((byte) => byte !== LINE_END)) {
       this.finish(this.lossOutcome('stream ended within an event', true), false);
--- a/src/serving/Types.ts
+++ b/src/serving/Types.ts
@@ -85,8 +85,14 @@
    * @param serverId - server that receives the call
    * @param pieces - pieces to run
    * @param now - time of the call, on the clock
+   * @param callId - id of this call, which servers may repeat in their responses
    */
-  createStageCall(serverId: string, pieces: readonly PieceReference[], now: number): OutgoingCall;
+  createStageCall(
+    serverId: string,
+    pieces: readonly PieceReference[],
+    now: number,
+    callId: string,
+  ): OutgoingCall;
   /** @returns outcomes in the order of the pieces; undefined if the body is invalid */
   parseStageOutcomes(body: string, pieces: number): PieceOutcome[] | undefined;
   /** @returns call that releases stage results at the server */
