stages: fewer results are remembered, without texts of their own

Change: 8,192 entries, each the handle that is held anyway and the piece it was made for.

The tests of ResultHandles and ExtraStageAnswers pass.

--- a/src/common/serving/ResultHandles.ts
+++ b/src/common/serving/ResultHandles.ts
@@ -1,4 +1,3 @@
-import { LRUCache } from 'lru-cache';
 import type { BackendServer } from './ServingConfiguration.js';
 import type { PieceOutcome, PieceReference } from './Types.js';
 
@@ -10,8 +9,17 @@
   readonly hasNew: boolean;
 }
 
-/** Maximum number of handles that are remembered; those that were made first go first. */
-const MAX_HANDLES = 50_000;
+/** Which piece a result was made for, and by which server process. */
+interface ResultOrigin {
+  readonly serverId: string;
+  readonly startedAtMs: number | undefined;
+  readonly attemptId: string;
+  readonly stage: number;
+  readonly piece: number;
+}
+
+/** Maximum number of handles that are remembered; the oldest go first. */
+const MAX_HANDLES = 8192;
 
 /**
  * Ties the answers of stage servers to their calls by the handles of the results.
@@ -20,12 +28,11 @@
  * results of other pieces. Servers do not have to repeat the id of a stage call.
  */
 export class ResultHandles {
-  /** Piece that each handle was made for, by server process and handle. */
-  private readonly pieces = new LRUCache<string, string>({ max: MAX_HANDLES });
+  private readonly origins = new Map<string, ResultOrigin>();
 
   /** Number of handles that are remembered. */
   get size(): number {
-    return this.pieces.size;
+    return this.origins.size;
   }
 
   /**
@@ -43,29 +50,46 @@
     if (outcomes.length !== pieces.length) {
       return failed(`${outcomes.length} outcomes for ${pieces.length} pieces`);
     }
-    const made = outcomes.flatMap((outcome, index) =>
-      outcome.kind === 'made'
-        ? [{ key: keyOf(server, outcome.handle), piece: nameOf(pieces[index]!) }]
-        : [],
-    );
-    if (new Set(made.map(({ key }) => key)).size < made.length) {
-      return failed('a handle is named twice');
+    const made = new Map<string, ResultOrigin>();
+    let hasNew = false;
+    for (const [index, outcome] of outcomes.entries()) {
+      if (outcome.kind === 'made') {
+        const { handle } = outcome;
+        const origin = originOf(server, pieces[index]!);
+        const known = this.origins.get(handle);
+        // A server that starts again may name its results as before.
+        const isKnown = known !== undefined && isSameServer(known, origin);
+        if (made.has(handle)) return failed('a handle is named twice');
+        if (isKnown && !isSamePiece(known, origin)) return failed('a handle of another piece');
+        hasNew ||= !isKnown;
+        made.set(handle, origin);
+      }
     }
-    const isForeign = made.some(({ key, piece }) => (this.pieces.get(key) ?? piece) !== piece);
-    if (isForeign) return failed('a handle of another piece');
-    const hasNew = made.some(({ key }) => !this.pieces.has(key));
-    made.forEach(({ key, piece }) => this.pieces.set(key, piece));
+    made.forEach((origin, handle) => this.remember(handle, origin));
     return { hasNew };
   }
+
+  private remember(handle: string, origin: ResultOrigin): void {
+    this.origins.set(handle, origin);
+    if (this.origins.size > MAX_HANDLES) this.origins.delete(this.origins.keys().next().value!);
+  }
+}
+
+function originOf(
+  { id: serverId, startedAtMs }: BackendServer,
+  { task: { attemptId, stage }, piece }: PieceReference,
+): ResultOrigin {
+  return { serverId, startedAtMs, attemptId, stage, piece };
 }
 
-/** A server that starts again may name its results as before. */
-function keyOf({ id, startedAtMs }: BackendServer, handle: string): string {
-  return `${id}/${startedAtMs ?? ''}/${handle}`;
+function isSameServer(left: ResultOrigin, right: ResultOrigin): boolean {
+  return left.serverId === right.serverId && left.startedAtMs === right.startedAtMs;
 }
 
-function nameOf({ task, piece }: PieceReference): string {
-  return `${task.attemptId}/${task.stage}/${piece}`;
+function isSamePiece(left: ResultOrigin, right: ResultOrigin): boolean {
+  return (
+    left.attemptId === right.attemptId && left.stage === right.stage && left.piece === right.piece
+  );
 }
 
 function failed(problem: string): HandleCheck {
