serving: log how large configurations are and how long reads and copies take

Logs could not tell a configuration that did not arrive over a narrow link from one that was decoded slowly or refused: a time-out named no bytes, a copy of a peer no duration.

--- a/src/serving/ConfigurationView.ts
+++ b/src/serving/ConfigurationView.ts
@@ -126,7 +126,10 @@
   }
 
   private decode(value: Buffer, source: string): ServingConfiguration | undefined {
+    const startedAt = this.clock.now();
     const decoded = this.decoder.configuration(value);
+    const decodeMs = Math.round(this.clock.now() - startedAt);
+    this.logger.info('configuration read', { source, bytes: value.length, decodeMs });
     if (decoded.ok) return decoded.value;
     this.logger.error('invalid configuration ignored', { source, reason: decoded.reason });
     return undefined;
--- a/src/serving/ServingProcess.ts
+++ b/src/serving/ServingProcess.ts
@@ -211,6 +211,7 @@
       storeEra: this.storeEra,
     });
     this.membership = new Membership({
+      clock,
       ownRow: { id: settings.id, address: this.peerAddress },
       table: options.names.memberTable,
       feed: this.followers.openFeed(),
--- a/src/serving/peers/Membership.ts
+++ b/src/serving/peers/Membership.ts
@@ -1,5 +1,6 @@
 import { parseJson as parseBounded } from '../../common/json/BoundedJson.js';
 import type { FeedRow, RowFeed } from '../../storage/RowFeed.js';
+import type { Clock } from '../../common/time/Types.js';
 import type { Logger } from '../../telemetry/Logger.js';
 import type { ProcessShares } from '../../common/serving/ProcessShares.js';
 import type { ConfigurationView } from '../ConfigurationView.js';
@@ -24,6 +25,7 @@
 
 /** Dependencies of {@link Membership}. */
 export interface MembershipServices {
+  readonly clock: Clock;
   readonly ownRow: MemberRow;
   readonly table: string;
   readonly feed: RowFeed;
@@ -142,9 +144,13 @@
   private pull(kind: string, peer: string, copy: (signal: AbortSignal) => Promise<void>): void {
     if (this.activePulls.has(kind)) return;
     this.activePulls.add(kind);
+    const { clock, logger } = this.services;
+    const startedAt = clock.now();
+    const durationMs = () => Math.round(clock.now() - startedAt);
     copy(AbortSignal.timeout(PULL_TIMEOUT_MS))
+      .then(() => logger.info('pulled from peer', { kind, peer, durationMs: durationMs() }))
       .catch((error: unknown) =>
-        this.services.logger.info('pull from peer failed', { kind, peer, error }),
+        logger.info('pull from peer failed', { kind, peer, error, durationMs: durationMs() }),
       )
       .finally(() => this.activePulls.delete(kind));
   }
--- a/src/storage/HttpCaller.ts
+++ b/src/storage/HttpCaller.ts
@@ -44,6 +44,11 @@
   readonly headers: IncomingHttpHeaders;
 }
 
+/** Bytes of a body that have arrived so far. */
+interface ReceivedBytes {
+  count: number;
+}
+
 /** HTTP client of one platform service: sends calls and maps failures to {@link PlatformError}. */
 export class HttpCaller {
   private readonly origin: string;
@@ -71,14 +76,19 @@
     const onAbort = () => abort.abort();
     options.signal?.addEventListener('abort', onAbort, { once: true });
     const timer = setTimeout(() => abort.abort(), options.timeoutMs);
-    const exchange = this.exchange(agent, call, abort.signal);
+    const received: ReceivedBytes = { count: 0 };
+    const exchange = this.exchange(agent, call, abort.signal, received);
     try {
       return resultOf(call, await Promise.race([exchange, rejectOnAbort(abort.signal)]));
     } catch (error) {
       if (options.signal?.aborted) return failure(call, 'aborted');
       if (abort.signal.aborted) {
         this.replaceAgent(agent);
-        return failure(call, `no response within ${options.timeoutMs} ms`);
+        const { count } = received;
+        return failure(
+          call,
+          `no whole response within ${options.timeoutMs} ms, ${count} bytes of it`,
+        );
       }
       const message = error instanceof Error ? error.message : String(error);
       return isConnectError(error) ? unavailable(message) : failure(call, message);
@@ -95,7 +105,12 @@
     return this.agent.destroy();
   }
 
-  private async exchange(agent: Agent, call: HttpCall, signal: AbortSignal): Promise<HttpResponse> {
+  private async exchange(
+    agent: Agent,
+    call: HttpCall,
+    signal: AbortSignal,
+    received: ReceivedBytes,
+  ): Promise<HttpResponse> {
     const response = await agent.request({
       origin: this.origin,
       path: this.pathPrefix + call.path,
@@ -104,7 +119,7 @@
       headers: headersOf(call),
       signal,
     });
-    const text = await readText(response);
+    const text = await readText(response, received);
     const { statusCode: status, headers } = response;
     const { etag } = headers;
     return { status, text, headers, ...(typeof etag === 'string' && { etag }) };
@@ -142,13 +157,26 @@
   });
 }
 
-async function readText(response: Dispatcher.ResponseData): Promise<string> {
-  const { body, headers } = response;
-  if (headers['content-encoding'] !== 'gzip') return readBoundedText(body, MAX_BODY_BYTES);
-  const compressed = await readBoundedBytes(body, MAX_BODY_BYTES);
+async function readText(
+  { body, headers }: Dispatcher.ResponseData,
+  received: ReceivedBytes,
+): Promise<string> {
+  const parts = countBytes(body, received);
+  if (headers['content-encoding'] !== 'gzip') return readBoundedText(parts, MAX_BODY_BYTES);
+  const compressed = await readBoundedBytes(parts, MAX_BODY_BYTES);
   return (await decompress(compressed, { maxOutputLength: MAX_BODY_BYTES })).toString('utf8');
 }
 
+async function* countBytes(
+  body: AsyncIterable<Buffer>,
+  received: ReceivedBytes,
+): AsyncIterable<Buffer> {
+  for await (const part of body) {
+    received.count += part.length;
+    yield part;
+  }
+}
+
 function headersOf(call: HttpCall): Record<string, string> {
   return {
     ...(call.body !== undefined && { 'content-type': 'application/json' }),
