--- a/src/load/launch/TcpRelay.ts
+++ b/src/load/launch/TcpRelay.ts
@@ -28,6 +28,8 @@
   answerSocket: Socket;
 }
 
+const MS_PER_S = 1000;
+
 /** Connections without a transfer for this time are idle; streams have a heartbeat every 250 ms. */
 const IDLE_AFTER_MS = 400;
 
@@ -50,6 +52,12 @@
   /** Delay of every transfer in each direction, in milliseconds. */
   delayMs = 0;
 
+  /** Bytes of answers that pass in a second, over all connections. */
+  private answerBytesPerS = Infinity;
+
+  /** Monotonic time at which the answers that were taken so far have passed, in ms. */
+  private answersPassAt = 0;
+
   /** Whether new connections are closed immediately. */
   isRefusing = false;
 
@@ -130,10 +138,19 @@
     return 2 * pairs;
   }
 
-  /** Ends delays and refusals; silenced connections stay silent. */
+  /** Ends delays, limits and refusals; silenced connections stay silent. */
   clearFaults(): void {
     this.isRefusing = false;
     this.delayMs = 0;
+    this.answerBytesPerS = Infinity;
+  }
+
+  /**
+   * Limits the answers of all connections together, like a narrow link of the callers' machine.
+   * @param bytesPerS - bytes that pass in a second
+   */
+  limitAnswers(bytesPerS: number): void {
+    this.answerBytesPerS = bytesPerS;
   }
 
   /**
@@ -198,11 +215,19 @@
 
   private send(connection: Connection, direction: Direction, bytes: Buffer): void {
     const queue = connection.queues[direction];
-    if (this.delayMs === 0 && queue.length === 0) {
+    const isLimited = direction === 'answers' && this.answerBytesPerS < Infinity;
+    if (this.delayMs === 0 && !isLimited && queue.length === 0) {
       this.forward(connection, direction, bytes);
       return;
     }
-    queue.push({ bytes, dueAt: performance.now() + this.delayMs });
+    const now = performance.now();
+    if (isLimited) {
+      const passMs = (bytes.length / this.answerBytesPerS) * MS_PER_S;
+      this.answersPassAt = Math.max(this.answersPassAt, now) + passMs;
+      // The target must not run ahead of the link, or a connection that is given up would occupy it.
+      connection.targetSocket.pause();
+    }
+    queue.push({ bytes, dueAt: (isLimited ? this.answersPassAt : now) + this.delayMs });
     if (queue.length === 1) this.forwardNext(connection, direction);
   }
 
@@ -214,6 +239,7 @@
     setTimeout(() => {
       this.forward(connection, direction, next.bytes);
       queue.shift();
+      if (direction === 'answers' && queue.length === 0) connection.targetSocket.resume();
       this.forwardNext(connection, direction);
     }, next.dueAt - performance.now());
   }
