storage: a response that arrives steadily is not given up after a second

Callers were handled by an older configuration, or refused, for as long as a large configuration was not read: a read of a whole table (at start, and after the store has dropped its history) and the first read after a failure had 1,000 ms for the whole response, and began anew when it was over. 580 KB need 1.3 s at half of a link of 7 Mbit/s, so they never arrived.

Cause: the time-out for a lost connection also bounded the time of a transfer. A connection that is lost in the middle of a body is noticed sooner than before, too.

--- a/src/serving/TableFollower.ts
+++ b/src/serving/TableFollower.ts
@@ -7,7 +7,10 @@
 import type { Logger } from '../telemetry/Logger.js';
 import type { StoreEra } from './StoreEra.js';
 
-/** Time-out of a read, in ms. The store responds in a few ms. */
+/**
+ * Time without a response of the store, or without a further part of it, in ms. The store responds in
+ * a few ms, but a large table takes longer than that over a narrow link.
+ */
 const READ_TIMEOUT_MS = 1000;
 
 /** Back-off after failed calls, in ms. It grows because the store limits the number of calls. */
@@ -103,7 +106,10 @@
 
   private async readAll(): Promise<PlatformError | undefined> {
     const { feed, table, listener, storeEra } = this.options;
-    const result = await feed.readAll(table, { timeoutMs: READ_TIMEOUT_MS });
+    const result = await feed.readAll(table, {
+      timeoutMs: READ_TIMEOUT_MS,
+      stallTimeoutMs: READ_TIMEOUT_MS,
+    });
     if (!result.ok) return result.error;
     listener.onStoreReachable();
     const { rows, position } = result.value;
@@ -127,7 +133,12 @@
     const timeoutMs = waitMs + READ_TIMEOUT_MS;
     this.waitingRead = new AbortController();
     const { signal } = this.waitingRead;
-    const result = await feed.changes(table, known, { waitMs, timeoutMs, signal });
+    const result = await feed.changes(table, known, {
+      waitMs,
+      timeoutMs,
+      stallTimeoutMs: READ_TIMEOUT_MS,
+      signal,
+    });
     if (signal.aborted) {
       this.position = undefined;
       return undefined;
--- a/src/storage/HttpCaller.ts
+++ b/src/storage/HttpCaller.ts
@@ -4,6 +4,7 @@
 import type { IncomingHttpHeaders } from 'undici/types/header.js';
 import { MAX_BODY_BYTES, readBoundedBytes, readBoundedText } from '../common/BoundedBody.js';
 import { isConnectError } from '../common/ConnectError.js';
+import { TransferTimeout } from './TransferTimeout.js';
 import type { CallOptions, PlatformError, PlatformResult } from './Types.js';
 
 /** Maximum connections per service. Further concurrent calls wait for a free connection. */
@@ -44,11 +45,6 @@
   readonly headers: IncomingHttpHeaders;
 }
 
-/** Bytes of a body that have arrived so far. */
-interface ReceivedBytes {
-  count: number;
-}
-
 /** HTTP client of one platform service: sends calls and maps failures to {@link PlatformError}. */
 export class HttpCaller {
   private readonly origin: string;
@@ -67,7 +63,7 @@
   /**
    * Sends a call once.
    * @param call - method, path and body
-   * @param options - time-out, which covers connecting and receiving the complete response
+   * @param options - time-outs, which cover connecting and receiving the complete response
    * @returns status and body, or the error of a failed call
    */
   async call(call: HttpCall, options: CallOptions): Promise<PlatformResult<HttpResponse>> {
@@ -75,25 +71,20 @@
     const abort = new AbortController();
     const onAbort = () => abort.abort();
     options.signal?.addEventListener('abort', onAbort, { once: true });
-    const timer = setTimeout(() => abort.abort(), options.timeoutMs);
-    const received: ReceivedBytes = { count: 0 };
-    const exchange = this.exchange(agent, call, abort.signal, received);
+    const timeout = new TransferTimeout(options, () => abort.abort());
+    const exchange = this.exchange(agent, call, abort.signal, timeout);
     try {
       return resultOf(call, await Promise.race([exchange, rejectOnAbort(abort.signal)]));
     } catch (error) {
       if (options.signal?.aborted) return failure(call, 'aborted');
       if (abort.signal.aborted) {
         this.replaceAgent(agent);
-        const { count } = received;
-        return failure(
-          call,
-          `no whole response within ${options.timeoutMs} ms, ${count} bytes of it`,
-        );
+        return failure(call, timeout.description);
       }
       const message = error instanceof Error ? error.message : String(error);
       return isConnectError(error) ? unavailable(message) : failure(call, message);
     } finally {
-      clearTimeout(timer);
+      timeout.dispose();
       options.signal?.removeEventListener('abort', onAbort);
       // An exchange that lost the race is aborted; its later rejection is ignored.
       exchange.catch(() => undefined);
@@ -109,7 +100,7 @@
     agent: Agent,
     call: HttpCall,
     signal: AbortSignal,
-    received: ReceivedBytes,
+    timeout: TransferTimeout,
   ): Promise<HttpResponse> {
     const response = await agent.request({
       origin: this.origin,
@@ -119,7 +110,7 @@
       headers: headersOf(call),
       signal,
     });
-    const text = await readText(response, received);
+    const text = await readText(response, timeout);
     const { statusCode: status, headers } = response;
     const { etag } = headers;
     return { status, text, headers, ...(typeof etag === 'string' && { etag }) };
@@ -159,20 +150,20 @@
 
 async function readText(
   { body, headers }: Dispatcher.ResponseData,
-  received: ReceivedBytes,
+  timeout: TransferTimeout,
 ): Promise<string> {
-  const parts = countBytes(body, received);
+  const parts = watchParts(body, timeout);
   if (headers['content-encoding'] !== 'gzip') return readBoundedText(parts, MAX_BODY_BYTES);
   const compressed = await readBoundedBytes(parts, MAX_BODY_BYTES);
   return (await decompress(compressed, { maxOutputLength: MAX_BODY_BYTES })).toString('utf8');
 }
 
-async function* countBytes(
+async function* watchParts(
   body: AsyncIterable<Buffer>,
-  received: ReceivedBytes,
+  timeout: TransferTimeout,
 ): AsyncIterable<Buffer> {
   for await (const part of body) {
-    received.count += part.length;
+    timeout.recordPart(part.length);
     yield part;
   }
 }
--- a/src/storage/Types.ts
+++ b/src/storage/Types.ts
@@ -45,6 +45,11 @@
 export interface CallOptions {
   /** Time after which the call returns `ambiguous` (writes) or `unavailable` (reads), in ms. */
   readonly timeoutMs: number;
+  /**
+   * Longest time between two parts of the body, in ms. Takes the place of {@link timeoutMs} once the
+   * body has begun; absent if the time-out covers the whole response.
+   */
+  readonly stallTimeoutMs?: number;
   /** Ends the call early, like a time-out. */
   readonly signal?: AbortSignal;
 }
