peers: copies of a configuration are compressed

Callers were handled by an older configuration while a process on a narrow link received a large one: it read it from the store and copied as much from a peer over the same link (361 KB each on khobz), and copies that took over a second were given up and begun anew with the next heartbeat. In a series of changes each one delayed the next.

Cause: a copy, which is meant to be the fast way, was as large as the read that it competes with. It is compressed now, once for all peers; peers of older versions ask without saying that they accept it, and get it as before.

--- a/src/serving/ConfigurationView.ts
+++ b/src/serving/ConfigurationView.ts
@@ -1,4 +1,7 @@
+import { promisify } from 'node:util';
+import { gunzip, gzip, type ZlibOptions } from 'node:zlib';
 import murmurhash from 'murmurhash';
+import { MAX_BODY_BYTES } from '../common/BoundedBody.js';
 import { Emitter } from '../common/events/Emitter.js';
 import { ConfigurationOrder } from '../common/serving/ConfigurationOrder.js';
 import type { ConfigurationState } from '../common/serving/ConfigurationState.js';
@@ -8,7 +11,10 @@
 import type { Clock } from '../common/time/Types.js';
 import type { Logger } from '../telemetry/Logger.js';
 import type { RowDecoder } from './Types.js';
-import type { ConfigurationSnapshot } from './peers/PeerMessages.js';
+import type { ConfigurationQuery, ConfigurationSnapshot } from './peers/PeerMessages.js';
+
+const compress = promisify<Buffer, Buffer>(gzip);
+const decompress = promisify<Buffer, ZlibOptions, Buffer>(gunzip);
 
 /**
  * The newest configuration received from the store or a peer. Its version only increases, unless the
@@ -19,6 +25,9 @@
 
   private currentValue: Buffer | undefined;
 
+  /** {@link currentValue} for the peers; undefined before the first one has asked for it. */
+  private compressedValue: Promise<Buffer> | undefined;
+
   /** Configuration that was read last and may be in force soon, see {@link applySettled}. */
   private stored: { readonly decoded: ServingConfiguration; readonly value: Buffer } | undefined;
 
@@ -45,11 +54,21 @@
     return this.current;
   }
 
-  /** The configuration for peers, encoded as in the store; undefined before the first one. */
-  get snapshot(): ConfigurationSnapshot | undefined {
-    const value = this.currentValue?.toString('base64');
+  /**
+   * @param query - what the peer accepts
+   * @returns the configuration for a peer, encoded as in the store; undefined before the first one
+   */
+  async snapshotFor({
+    acceptsGzip,
+  }: ConfigurationQuery): Promise<ConfigurationSnapshot | undefined> {
     const { history } = this.order;
-    return value === undefined || !history ? undefined : { ...history, value };
+    const value = this.currentValue;
+    if (!value || !history) return undefined;
+    if (!acceptsGzip) return { ...history, value: value.toString('base64'), isCompressed: false };
+    // All peers ask at about the same time.
+    this.compressedValue ??= compress(value);
+    const compressed = await this.compressedValue;
+    return { ...history, value: compressed.toString('base64'), isCompressed: true };
   }
 
   /** Version of the configuration; -1 for none. */
@@ -117,8 +136,14 @@
    * @param snapshot - configuration and what the peer knows about its order
    * @param peerId - id of the peer, for the log
    */
-  applyFromPeer({ value: encoded, ...history }: ConfigurationSnapshot, peerId: string): void {
-    const value = Buffer.from(encoded, 'base64');
+  async applyFromPeer(
+    { value: encoded, isCompressed, ...history }: ConfigurationSnapshot,
+    peerId: string,
+  ): Promise<void> {
+    const received = Buffer.from(encoded, 'base64');
+    const value = isCompressed
+      ? await decompress(received, { maxOutputLength: MAX_BODY_BYTES })
+      : received;
     const decoded = this.decode(value, peerId);
     if (!decoded) return;
     const isPreferred = this.order.merge(history, digestOf(value), this.clock.now());
@@ -141,6 +166,7 @@
     const position = this.order.state?.inForce.position;
     this.current = new RouteTable(configuration);
     this.currentValue = value;
+    this.compressedValue = undefined;
     this.logger.info('configuration in force', { version, previous, position, source });
     this.changedEmitter.fire(this.current);
   }
--- a/src/serving/ServingProcess.ts
+++ b/src/serving/ServingProcess.ts
@@ -237,7 +237,7 @@
       ip: settings.ip,
       port: settings.internalPorts[0],
       router: createPeerRouter({
-        configuration: () => this.configuration.snapshot,
+        configuration: (query) => this.configuration.snapshotFor(query),
         registrations: () => this.registrations.snapshot,
       }),
       metrics,
--- a/src/serving/peers/Membership.ts
+++ b/src/serving/peers/Membership.ts
@@ -125,8 +125,8 @@
     this.pull('configuration', id, async (signal) => {
       const snapshot = await peerClients
         .clientFor(address)
-        .configuration.query(undefined, { signal });
-      if (snapshot) configuration.applyFromPeer(ConfigurationSnapshot.parse(snapshot), id);
+        .configuration.query({ acceptsGzip: true }, { signal });
+      if (snapshot) await configuration.applyFromPeer(ConfigurationSnapshot.parse(snapshot), id);
     });
   }
 
--- a/src/serving/peers/PeerMessages.ts
+++ b/src/serving/peers/PeerMessages.ts
@@ -117,6 +117,13 @@
 });
 export type RegistrationSnapshot = z.infer<typeof RegistrationSnapshot>;
 
+/** Query for the configuration of a process; older versions send none. */
+export const ConfigurationQuery = z.object({
+  /** Whether the value may be compressed with gzip. */
+  acceptsGzip: z.boolean(),
+});
+export type ConfigurationQuery = z.infer<typeof ConfigurationQuery>;
+
 /**
  * The configuration of a process, encoded as in the store, and what it knows about its order. Older
  * versions send no state and no numbers of the known ones.
@@ -124,5 +131,7 @@
 export const ConfigurationSnapshot = ConfigurationHistory.extend({
   /** Row value in base64. */
   value: z.string(),
+  /** Whether the value is compressed with gzip. */
+  isCompressed: z.boolean().default(false),
 });
 export type ConfigurationSnapshot = z.infer<typeof ConfigurationSnapshot>;
--- a/src/serving/peers/PeerRouter.ts
+++ b/src/serving/peers/PeerRouter.ts
@@ -1,12 +1,19 @@
 /** tRPC router for infrequent calls between serving processes. */
 import { initTRPC } from '@trpc/server';
-import type { ConfigurationSnapshot, RegistrationSnapshot } from './PeerMessages.js';
+import {
+  ConfigurationQuery,
+  type ConfigurationSnapshot,
+  type RegistrationSnapshot,
+} from './PeerMessages.js';
 
 const { router, procedure } = initTRPC.create();
 
+/** Query of an older version. */
+const UNCOMPRESSED: ConfigurationQuery = { acceptsGzip: false };
+
 /** Handles the calls of peers. */
 export interface PeerCallHandler {
-  configuration(): ConfigurationSnapshot | undefined;
+  configuration(query: ConfigurationQuery): Promise<ConfigurationSnapshot | undefined>;
   registrations(): RegistrationSnapshot;
 }
 
@@ -16,7 +23,9 @@
  */
 export function createPeerRouter(handler: PeerCallHandler) {
   return router({
-    configuration: procedure.query(() => handler.configuration()),
+    configuration: procedure
+      .input(ConfigurationQuery.optional())
+      .query(({ input = UNCOMPRESSED }) => handler.configuration(input)),
     registrations: procedure.query(() => handler.registrations()),
   });
 }
