serving: the configuration in force is not decoded again

Streams of a process with a quarter of a core stood still while it decoded the same configuration for each source: once from the store and once for each copy of a peer. A content that is in force already is recognised by its digest, before it is decoded.

Evidence: the new test failed before with 3 decodings instead of 1.

--- a/src/serving/ConfigurationView.test.ts
+++ b/src/serving/ConfigurationView.test.ts
@@ -90,3 +90,18 @@
     assert.equal(peer.version, 2);
   });
 });
+
+describe('a configuration that arrives from the store and from peers', () => {
+  it('is decoded once', async () => {
+    // Guards against a process with a fraction of a core that stands still for each copy.
+    const { view: peer } = createView();
+    peer.applyStored(createValue(2), position(2));
+    const snapshot = ConfigurationSnapshot.parse(await peer.snapshotFor({ acceptsGzip: true }));
+    const { view, counts } = createView();
+    await view.applyFromPeer(snapshot, 'peer');
+    await view.applyFromPeer(snapshot, 'other-peer');
+    view.applyStored(createValue(2), position(2));
+    assert.equal(counts.decoded, 1);
+    assert.deepEqual(view.state?.inForce.position, position(2));
+  });
+});
--- a/src/serving/ConfigurationView.ts
+++ b/src/serving/ConfigurationView.ts
@@ -25,6 +25,8 @@
 
   private currentValue: Buffer | undefined;
 
+  private currentDigest: number | undefined;
+
   /** {@link currentValue} for the peers; undefined before the first one has asked for it. */
   private compressedValue: Promise<Buffer> | undefined;
 
@@ -87,10 +89,11 @@
    * @param position - position of the store at which the row was written
    */
   applyStored(value: Buffer, position: StorePosition): void {
-    const decoded = this.decode(value, 'store');
+    const digest = digestOf(value);
+    const decoded = this.decode(value, digest, 'store');
     if (!decoded) return;
     const { version } = decoded;
-    const offered = { version, digest: digestOf(value), position };
+    const offered = { version, digest, position };
     const outcome = this.order.offer(offered, this.clock.now());
     this.stored = { decoded, value };
     if (outcome === 'in-force') this.apply(decoded, value, 'store');
@@ -144,13 +147,16 @@
     const value = isCompressed
       ? await decompress(received, { maxOutputLength: MAX_BODY_BYTES })
       : received;
-    const decoded = this.decode(value, peerId);
+    const digest = digestOf(value);
+    const decoded = this.decode(value, digest, peerId);
     if (!decoded) return;
-    const isPreferred = this.order.merge(history, digestOf(value), this.clock.now());
+    const isPreferred = this.order.merge(history, digest, this.clock.now());
     if (isPreferred) this.apply(decoded, value, peerId);
   }
 
-  private decode(value: Buffer, source: string): ServingConfiguration | undefined {
+  /** Decodes a configuration unless it is the one in force, which arrives from several sources. */
+  private decode(value: Buffer, digest: number, source: string): ServingConfiguration | undefined {
+    if (digest === this.currentDigest) return this.current?.configuration;
     const startedAt = this.clock.now();
     const decoded = this.decoder.configuration(value);
     const decodeMs = Math.round(this.clock.now() - startedAt);
@@ -166,6 +172,7 @@
     const position = this.order.state?.inForce.position;
     this.current = new RouteTable(configuration);
     this.currentValue = value;
+    this.currentDigest = this.order.state?.inForce.digest;
     this.compressedValue = undefined;
     this.logger.info('configuration in force', { version, previous, position, source });
     this.changedEmitter.fire(this.current);
