--- a/src/serving/ServingProcess.ts
+++ b/src/serving/ServingProcess.ts
@@ -211,6 +211,7 @@
       storeEra: this.storeEra,
     });
     this.membership = new Membership({
+      clock,
       ownRow: { id: settings.id, address: this.peerAddress },
       table: options.names.memberTable,
       feed: this.followers.openFeed(),
@@ -236,7 +237,7 @@
       ip: settings.ip,
       port: settings.internalPorts[0],
       router: createPeerRouter({
-        configuration: () => this.configuration.snapshot,
+        configuration: (query) => this.configuration.snapshotFor(query),
         registrations: () => this.registrations.snapshot,
       }),
       metrics,
