--- a/src/serving/RequestLog.ts
+++ b/src/serving/RequestLog.ts
@@ -4,6 +4,7 @@
 import type { CallerRequest } from './CallerRequest.js';
 import type { ForwardOutcome } from './ForwardOutcome.js';
 import type { ForwardProgress } from './ForwardProgress.js';
+import { fingerprintOf } from './RequestFingerprint.js';
 import type { ResponseProgress } from './ResponseProgress.js';
 
 /** Why a request is refused before a server runs it, and when it may be sent again. */
@@ -51,6 +52,8 @@
         firstEventMs: Math.round(response.firstEventMs),
         events: response.events,
       }),
+      ...('isConnectionLost' in outcome &&
+        outcome.isConnectionLost && { fingerprint: fingerprintOf(request) }),
       ...(request.attributes.promptParts.length > 0 && { promptParts: loggedParts(request) }),
     });
   }
