--- a/src/serving/ConfigurationView.ts
+++ b/src/serving/ConfigurationView.ts
@@ -66,7 +66,7 @@
     const { history } = this.order;
     const value = this.currentValue;
     if (!value || !history) return undefined;
-    if (!acceptsGzip) return { ...history, value: value.toString('base64'), isCompressed: false };
+    if (!acceptsGzip) return { ...history, value: value.toString('base64') };
     // All peers ask at about the same time.
     this.compressedValue ??= compress(value);
     const compressed = await this.compressedValue;
--- a/src/serving/peers/PeerMessages.ts
+++ b/src/serving/peers/PeerMessages.ts
@@ -131,7 +131,7 @@
 export const ConfigurationSnapshot = ConfigurationHistory.extend({
   /** Row value in base64. */
   value: z.string(),
-  /** Whether the value is compressed with gzip. */
-  isCompressed: z.boolean().default(false),
+  /** Whether the value is compressed with gzip; older versions do not say it, as it never is. */
+  isCompressed: z.boolean().optional(),
 });
 export type ConfigurationSnapshot = z.infer<typeof ConfigurationSnapshot>;
