serving: a request that ends each server that runs it is refused

Cause: crashes left evidence against shared parts of prompts only. A request without a prompt left none, and no process knew what another one had seen.

Now a request has a fingerprint, and a server that ends leaves evidence against the requests that it ran. It is exchanged with heartbeats and kept in the store, like that against prompt parts. A request is refused when three servers have ended one after the other under it, each after a send that followed the previous end, without a complete response in between: an outage, which ends servers that have the request already, does not count. A request that was only lost beside another one is cleared by crashes that it had no part in; while two cannot be told apart, they are refused for 10 s only. Stage calls leave the same evidence, and a request that was lost with two servers shares no call with others.

--- a/src/common/serving/CallSelection.ts
+++ b/src/common/serving/CallSelection.ts
@@ -1,7 +1,7 @@
 /** Selects the server and the pieces of the next call of a stage service. */
 import type { PieceTimeEstimator } from './PieceTimeEstimator.js';
 import type { StageCapacity } from './ServingConfiguration.js';
-import type { PieceReference, QueuedTask } from './Types.js';
+import type { PieceReference, QueuedTask, StageTask } from './Types.js';
 import type { StageServerState } from './StageServerState.js';
 
 /**
@@ -39,6 +39,8 @@
   readonly domainFreeAt: ReadonlyMap<string, number>;
   /** Whether more pieces wait than one full call to each server can carry. */
   readonly isBacklogged: boolean;
+  /** Whether the pieces of a task must not share a call with those of others. */
+  readonly mustRunAlone: (task: StageTask) => boolean;
 }
 
 /**
@@ -79,7 +81,7 @@
   queuedTasks: readonly QueuedTask[],
   context: SelectionContext,
 ): CandidateCall {
-  const { capacity, isBacklogged } = context;
+  const { capacity, isBacklogged, mustRunAlone } = context;
   const pieces: PieceReference[] = [];
   let rank = Infinity;
   let freeBytes = capacity.resultRoomBytes - serverState.usedBytes(context.now);
@@ -95,19 +97,23 @@
   const fitting = (queuedTask: QueuedTask) =>
     Math.min(capacity.batchSize - pieces.length, fittingResults(freeBytes, queuedTask));
   for (const [index, queuedTask] of queuedTasks.entries()) {
-    if (pieces.length >= capacity.batchSize) break;
+    const [first] = pieces;
+    if (pieces.length >= capacity.batchSize || (first && mustRunAlone(first.task))) break;
+    const isAlone = mustRunAlone(queuedTask.task);
+    if (first && isAlone) continue;
     const maxPieces = fitting(queuedTask);
     if (maxPieces > 0 && shouldRunOn(serverState, queuedTask, context)) {
       const { size } = queuedTask.unassignedPieces;
       const isWhole = maxPieces >= size;
       // Results of a part would occupy scarce memory until the rest has run elsewhere.
       const hasRoom = fittingResults(freeBytes, queuedTask) >= size;
-      const mayDivide = isBacklogged && hasRoom && isPreferred(serverState, queuedTask);
+      const mayDivide = isBacklogged && !isAlone && hasRoom && isPreferred(serverState, queuedTask);
       if (isWhole || mustSplit(queuedTask, capacity)) assign(queuedTask, index, maxPieces);
       else if (mayDivide) divisible ??= { queuedTask, index };
     }
   }
   // The rest of the task starts with the next call, which is when the whole task would have started.
+  if (pieces[0] && mustRunAlone(pieces[0].task)) divisible = undefined;
   const dividedPieces = divisible ? fitting(divisible.queuedTask) : 0;
   if (divisible && dividedPieces > 0) assign(divisible.queuedTask, divisible.index, dividedPieces);
   return { serverState, pieces, rank };
--- a/src/common/serving/EvacuationView.test.ts
+++ b/src/common/serving/EvacuationView.test.ts
@@ -17,7 +17,7 @@
   createCapacity,
   createDepartures,
   createServer,
-  createStatements,
+  createStageRules,
   createTask,
 } from './testing/fixtures.js';
 
@@ -347,7 +347,7 @@
       createServer(`s${index + 1}`, { failureDomain: index < 3 ? 'north' : 'south' }),
     );
     directory.apply(servers.map((server) => ({ id: server.id, server })));
-    const queue = new StageQueue(clock, createCapacity(), () => true, createStatements(clock));
+    const queue = new StageQueue(clock, createCapacity(), createStageRules(clock));
     const refresh = () => queue.updateServers(directory.usable('retrieval'));
     evacuations.onChanged(refresh);
     refresh();
--- a/src/common/serving/StageAdmission.test.ts
+++ b/src/common/serving/StageAdmission.test.ts
@@ -6,7 +6,7 @@
 import { StageQueue } from './StageQueue.js';
 import type { PlannedCall } from './Types.js';
 import { ManualClock } from './testing/ManualClock.js';
-import { createCapacity, createServer, createStatements, createTask } from './testing/fixtures.js';
+import { createCapacity, createServer, createStageRules, createTask } from './testing/fixtures.js';
 
 const SHORTEST_MS = 150;
 const TYPICAL_MS = 280;
@@ -31,7 +31,7 @@
   const clock = new ManualClock();
   const random = new SeededRandom(seed);
   const capacity = createCapacity({ batchSize: 10, pieceMs: 13 });
-  const queue = new StageQueue(clock, capacity, () => true, createStatements(clock));
+  const queue = new StageQueue(clock, capacity, createStageRules(clock));
   queue.updateServers([1, 2, 3, 4].map((index) => createServer(`s${index}`)));
   const outcomes = new Map([0, 1].map((key) => [key, { admitted: 0, onTime: 0, failed: 0 }]));
   const priorities = new Map<number, { readonly priority: number; readonly dueAt: number }>();
--- a/src/common/serving/StageQueue.test.ts
+++ b/src/common/serving/StageQueue.test.ts
@@ -4,7 +4,13 @@
 import { StageQueue } from './StageQueue.js';
 import type { CallOutcome, EndedTask, PlannedCall } from './Types.js';
 import { ManualClock } from './testing/ManualClock.js';
-import { createCapacity, createServer, createStatements, createTask } from './testing/fixtures.js';
+import {
+  createCapacity,
+  createServer,
+  createStageRules,
+  createStatements,
+  createTask,
+} from './testing/fixtures.js';
 import { generateArrivals, meanOf, replayStage } from './testing/StageReplay.js';
 
 const SEEDS = [1, 2, 3, 4, 5];
@@ -13,7 +19,12 @@
   const clock = new ManualClock();
   const { servers = 1, mayRetry = true, batchSize = 12 } = options;
   const statements = createStatements(clock);
-  const queue = new StageQueue(clock, createCapacity({ batchSize }), () => mayRetry, statements);
+  const rules = createStageRules(clock, {
+    limits: statements,
+    mayRetry: () => mayRetry,
+    mustRunAlone: ({ fingerprint }) => fingerprint === 'suspect',
+  });
+  const queue = new StageQueue(clock, createCapacity({ batchSize }), rules);
   queue.updateServers(Array.from({ length: servers }, (_, index) => createServer(`s${index + 1}`)));
   return { clock, queue, statements };
 }
@@ -48,6 +59,23 @@
     assert.deepEqual(handlesOf(second), [`1-${second}-0`, `1-${second}-1`]);
   });
 
+  it('sends the pieces of a suspect in calls without those of others', () => {
+    // Guards against sound requests that are lost with a server again and again beside another one.
+    const { clock, queue } = createQueue({ servers: 4 });
+    const suspect = { fingerprint: 'suspect', attemptId: 'suspect', pieces: 2 };
+    queue.add(createTask({ attemptId: 'first', dueAt: 900 }));
+    queue.add(createTask({ ...suspect, dueAt: 950 }));
+    queue.add(createTask({ attemptId: 'second', dueAt: 960 }));
+    queue.add(createTask({ ...suspect, dueAt: 970 }));
+    const planned: PlannedCall[] = [];
+    for (let now = 0; now < 200; now += 10) {
+      clock.set(now);
+      planned.push(...queue.plan());
+    }
+    const calls = planned.map(({ pieces }) => pieces.map(({ task }) => task.attemptId).join());
+    assert.deepEqual(calls.sort(), ['first,second', 'suspect,suspect', 'suspect,suspect']);
+  });
+
   it('plans no call for a server at its limit, and expects a longer backlog because of it', () => {
     const { clock, queue, statements } = createQueue({ servers: 2, batchSize: 1 });
     for (let index = 0; index < 10; index += 1) queue.add(createTask());
@@ -69,7 +97,7 @@
     // Guards against heartbeats that all peers reject: JSON has no infinite numbers.
     const clock = new ManualClock();
     const capacity = createCapacity({ callMs: 0, pieceMs: 0 });
-    const queue = new StageQueue(clock, capacity, () => true, createStatements(clock));
+    const queue = new StageQueue(clock, capacity, createStageRules(clock));
     queue.updateServers([createServer('s1')]);
     queue.add(createTask({ pieces: 30 }));
     assert.ok(Number.isFinite(queue.load.piecesPerMs));
--- a/src/common/serving/StageQueue.ts
+++ b/src/common/serving/StageQueue.ts
@@ -21,6 +21,16 @@
   TaskOutcome,
 } from './Types.js';
 
+/** What a queue asks before it sends pieces. */
+export interface StageRules {
+  /** Limits on the calls to each server. */
+  readonly limits: CallLimits;
+  /** Called before pieces are sent again after a failure. */
+  readonly mayRetry: RetryPermission;
+  /** Whether the pieces of a task must not share a call with those of others. */
+  readonly mustRunAlone: (task: StageTask) => boolean;
+}
+
 /** Failed sends per piece, averaged over the task, above which the task fails. */
 const MAX_FAILURES_PER_PIECE = 4;
 
@@ -63,18 +73,16 @@
   /**
    * @param clock - time source
    * @param capacity - capacity of each server of the service
-   * @param mayRetry - called before pieces are sent again after a failure
-   * @param limits - limits on the calls to each server
+   * @param rules - what the queue asks before it sends pieces
    */
   constructor(
     private readonly clock: Clock,
     private capacity: StageCapacity,
-    private readonly mayRetry: RetryPermission,
-    limits: CallLimits,
+    private readonly rules: StageRules,
   ) {
     this.pieceTimes = new PieceTimeEstimator(() => this.capacity);
     this.loadMeter = new StageLoadMeter(clock);
-    this.servers = new StageServers(clock, () => this.capacity, limits);
+    this.servers = new StageServers(clock, () => this.capacity, rules.limits);
   }
 
   /** Applies the capacity of a new configuration. */
@@ -176,9 +184,14 @@
     return expired.map(({ taskId }) => this.endTask(taskId, { kind: 'expired' }));
   }
 
-  /** Ends the tasks with waiting pieces, which no server will run. */
-  failWaiting(): EndedTask[] {
-    return [...this.waitingTasks.keys()].map((taskId) => this.endTask(taskId, { kind: 'failed' }));
+  /**
+   * Ends tasks with waiting pieces, which no server will run.
+   * @param isAffected - whether to end a task; default: all
+   */
+  failWaiting(isAffected: (task: StageTask) => boolean = () => true): EndedTask[] {
+    return [...this.waitingTasks.values()]
+      .filter(({ task }) => isAffected(task))
+      .map(({ taskId }) => this.endTask(taskId, { kind: 'failed' }));
   }
 
   /**
@@ -222,7 +235,8 @@
     const domainFreeAt = freeTimesByDomain(healthy, now);
     const isBacklogged = this.waitingPieces > this.capacity.batchSize * healthy.length;
     const { capacity, pieceTimes } = this;
-    const context = { now, capacity, pieceTimes, domainFreeAt, isBacklogged };
+    const { mustRunAlone } = this.rules;
+    const context = { now, capacity, pieceTimes, domainFreeAt, isBacklogged, mustRunAlone };
     const candidate = mayStart ? selectCall(freeServers, queuedTasks, context) : undefined;
     return candidate && this.startCall(candidate.serverState, [...candidate.pieces], now);
   }
@@ -327,7 +341,7 @@
       if (!queued) return [];
       queued.failures += 1;
       const isExhausted = queued.failures > MAX_FAILURES_PER_PIECE * task.pieces;
-      if (isExhausted || !this.mayRetry(1)) return [this.endTask(taskId, { kind: 'failed' })];
+      if (isExhausted || !this.rules.mayRetry(1)) return [this.endTask(taskId, { kind: 'failed' })];
       this.unassign(queued, piece);
       return [];
     });
--- a/src/common/serving/Types.ts
+++ b/src/common/serving/Types.ts
@@ -23,6 +23,8 @@
   readonly resultBytes: number;
   /** Total size of the inputs, in bytes. */
   readonly inputBytes: number;
+  /** Identifies the request when its caller repeats it; absent if a peer did not say. */
+  readonly fingerprint?: string;
   /** Kind of work; pieces of the same kind take about the same time. */
   readonly work: string;
   /** Failure domain in which transfers of inputs or results cost least; absent if negligible. */
--- a/src/common/serving/testing/StageReplay.ts
+++ b/src/common/serving/testing/StageReplay.ts
@@ -2,7 +2,7 @@
 import { SeededRandom } from '../../time/SeededRandom.js';
 import type { BackendServer, StageCapacity } from '../ServingConfiguration.js';
 import { ManualClock } from './ManualClock.js';
-import { createStatements } from './fixtures.js';
+import { createStageRules } from './fixtures.js';
 import { StageQueue } from '../StageQueue.js';
 import type { EndedTask, PlannedCall, StageTask } from '../Types.js';
 
@@ -101,7 +101,7 @@
     private readonly servers: readonly BackendServer[],
     private readonly pieceMs: (task: StageTask) => number,
   ) {
-    this.queue = new StageQueue(this.clock, capacity, () => true, createStatements(this.clock));
+    this.queue = new StageQueue(this.clock, capacity, createStageRules(this.clock));
     this.queue.updateServers(servers);
   }
 
--- a/src/common/serving/testing/fixtures.ts
+++ b/src/common/serving/testing/fixtures.ts
@@ -8,6 +8,7 @@
 import { ServerDepartures } from '../ServerDepartures.js';
 import { ServerStatements } from '../ServerStatements.js';
 import type { Clock } from '../../time/Types.js';
+import type { StageRules } from '../StageQueue.js';
 import type { StageTask } from '../Types.js';
 
 /** @returns capacity of a retrieval service whose calls have a large fixed duration */
@@ -108,3 +109,13 @@
     limitShareOf: () => 1,
   });
 }
+
+/** @returns rules of a queue that may retry, and whose tasks may share calls */
+export function createStageRules(clock: Clock, overrides: Partial<StageRules> = {}): StageRules {
+  return {
+    limits: createStatements(clock),
+    mayRetry: () => true,
+    mustRunAlone: () => false,
+    ...overrides,
+  };
+}
--- a/src/serving/Hedging.ts
+++ b/src/serving/Hedging.ts
@@ -9,7 +9,7 @@
 import { isSuccess, type ForwardOutcome } from './ForwardOutcome.js';
 import type { ForwardProgress } from './ForwardProgress.js';
 import { HedgeRace, type SendTo } from './HedgeRace.js';
-import type { PromptGuard } from './PromptGuard.js';
+import type { Guard } from './CrashGuard.js';
 import type { RetryBudgets } from './RetryBudgets.js';
 import type { ServerSelection, StoredResult } from './ServerSelection.js';
 import type { ServingMetrics } from './ServingMetrics.js';
@@ -28,7 +28,7 @@
   readonly selection: Pick<ServerSelection, 'choose'>;
   readonly peerView: Pick<PeerView, 'engineLoad'>;
   readonly retryBudgets: RetryBudgets;
-  readonly promptGuard: PromptGuard;
+  readonly crashGuard: Guard;
   readonly metrics: Pick<ServingMetrics, 'recordHedge'>;
 }
 
@@ -97,8 +97,8 @@
     { request, service, progress, results }: HedgeableSend,
     plan: HedgePlan,
   ): BackendServer | undefined {
-    const { clock, policy, selection, retryBudgets, promptGuard, metrics } = this.services;
-    if (progress.sends >= MAX_SEND_ATTEMPTS || promptGuard.isRefused(request)) return undefined;
+    const { clock, policy, selection, retryBudgets, crashGuard, metrics } = this.services;
+    if (progress.sends >= MAX_SEND_ATTEMPTS || crashGuard.isRefused(request)) return undefined;
     const candidates = this.candidatesOf(service);
     const targets = policy.targetsOf(service, candidates, this.remainingMs(request), plan);
     const excluded = new Set(progress.triedServerIds);
--- a/src/serving/PromptGuard.ts
+++ b/src/serving/PromptGuard.ts
@@ -3,13 +3,14 @@
 import type { BackendServer } from '../common/serving/ServingConfiguration.js';
 import type { Clock } from '../common/time/Types.js';
 import type { CallerRequest } from './CallerRequest.js';
+import type { Guard } from './CrashGuard.js';
 import { isSuccess, type ForwardOutcome } from './ForwardOutcome.js';
 import type { Refusal } from './RequestLog.js';
 import type { ResponseProgress } from './ResponseProgress.js';
 import type { ServingMetrics } from './ServingMetrics.js';
 
 /** Refuses requests because of prompt parts that crash servers, and learns from the others. */
-export class PromptGuard {
+export class PromptGuard implements Guard {
   /**
    * @param clock - time source
    * @param crashingParts - evidence of all processes
@@ -21,7 +22,6 @@
     private readonly metrics: ServingMetrics,
   ) {}
 
-  /** @returns why the request must not be sent to any server; undefined if it may be sent */
   refusalOf({ attributes }: CallerRequest): Refusal | undefined {
     const found = this.crashingParts.findIn(sharedPartIds(attributes.promptParts));
     if (!found) return undefined;
@@ -32,17 +32,10 @@
     };
   }
 
-  /** @returns whether the request must not be sent to any further server */
   isRefused({ attributes }: CallerRequest): boolean {
     return this.crashingParts.findIn(sharedPartIds(attributes.promptParts)) !== undefined;
   }
 
-  /**
-   * Waits for evidence because of which the request must not be sent any more.
-   * @param request - request that is not sent yet
-   * @param listener - called when there is such evidence
-   * @returns subscription
-   */
   onRefused({ attributes }: CallerRequest, listener: () => void): Disposable {
     const partIds = sharedPartIds(attributes.promptParts);
     return this.crashingParts.onFound(() => {
@@ -50,7 +43,6 @@
     });
   }
 
-  /** Records what the outcome of an attempt shows about the parts of the prompt. */
   recordOutcome(
     { attributes }: CallerRequest,
     { id, startedAtMs }: BackendServer,
--- a/src/serving/RequestRunner.ts
+++ b/src/serving/RequestRunner.ts
@@ -16,7 +16,7 @@
 import { StreamForwarder } from './StreamForwarder.js';
 import type { PeerView } from './peers/PeerView.js';
 import { ForwardProgress } from './ForwardProgress.js';
-import type { PromptGuard } from './PromptGuard.js';
+import type { Guard } from './CrashGuard.js';
 import { RequestLog, type Refusal } from './RequestLog.js';
 import { ResponseProgress } from './ResponseProgress.js';
 import type { RetryBudgets } from './RetryBudgets.js';
@@ -48,7 +48,7 @@
   readonly selection: ServerSelection;
   readonly records: ServerRecords;
   readonly placement: EnginePlacement;
-  readonly promptGuard: PromptGuard;
+  readonly crashGuard: Guard;
   readonly stageRunner: StageRunner;
   readonly retryBudgets: RetryBudgets;
   readonly peerView: PeerView;
@@ -115,7 +115,7 @@
     this.services.retryBudgets.of(service).recordRequest();
     this.services.hedging?.recordRequest(service);
     const refusal =
-      this.services.promptGuard.refusalOf(request) ?? this.admissionRefusal(request, service);
+      this.services.crashGuard.refusalOf(request) ?? this.admissionRefusal(request, service);
     if (refusal) {
       this.refuse(request, refusal.reason, refusal.retryAfterMs);
       return;
@@ -156,9 +156,9 @@
     if (request.route.stages.length === 0 || !needsStages) {
       return { kind: 'done', results: [], release: () => undefined };
     }
-    const { stageRunner, selection, promptGuard } = this.services;
+    const { stageRunner, selection, crashGuard } = this.services;
     const cancellation = new Cancellation(request.cancellation);
-    const subscription = promptGuard.onRefused(request, () => cancellation.cancel());
+    const subscription = crashGuard.onRefused(request, () => cancellation.cancel());
     // The engine that would be chosen now.
     const engineDomain = selection.choose(request, service, new Set(), [])?.failureDomain;
     const results = await stageRunner.run(request, engineDomain, cancellation);
@@ -170,7 +170,7 @@
     }
     if (results.kind === 'done') return results;
     const { service: failedService, reason } = results;
-    const refusal = promptGuard.refusalOf(request) ?? this.evacuationRefusal(failedService);
+    const refusal = crashGuard.refusalOf(request) ?? this.evacuationRefusal(failedService);
     if (refusal) {
       this.refuse(request, refusal.reason, refusal.retryAfterMs);
       return undefined;
@@ -192,7 +192,7 @@
     const context: SendContext = { service, progress, results, release };
     let nextStep: NextStep = 'retry';
     while (nextStep === 'retry') {
-      const refusal = this.services.promptGuard.refusalOf(request);
+      const refusal = this.services.crashGuard.refusalOf(request);
       if (refusal) {
         this.sendFailure(request, progress, refusal.reason, refusal.retryAfterMs);
         return;
@@ -304,7 +304,7 @@
     try {
       outcome = await this.send(request, server, options, progress);
       this.recordOutcome(server, outcome);
-      this.services.promptGuard.recordOutcome(request, server, outcome, responseProgress);
+      this.services.crashGuard.recordOutcome(request, server, outcome, responseProgress);
     } finally {
       markPrefilled();
       records.end(server.id);
--- a/src/serving/ServerObservations.ts
+++ b/src/serving/ServerObservations.ts
@@ -1,4 +1,5 @@
 import { CrashingParts } from '../common/serving/CrashingParts.js';
+import { CrashingRequests } from '../common/serving/CrashingRequests.js';
 import { EngineSpeeds } from '../common/serving/EngineSpeeds.js';
 import { EvacuationView } from '../common/serving/EvacuationView.js';
 import type { ColdSource } from '../common/serving/ServerColdState.js';
@@ -9,6 +10,7 @@
 } from '../common/serving/ServerStatements.js';
 import type { BackendServer } from '../common/serving/ServingConfiguration.js';
 import type { Logger } from '../telemetry/Logger.js';
+import { RequestCrashes } from './RequestCrashes.js';
 import type { TrafficObserver } from './ServerConnectionPool.js';
 import type { RawHeaders, ServingProtocol } from './Types.js';
 import type { Heartbeat } from './peers/PeerMessages.js';
@@ -35,6 +37,10 @@
 
   readonly crashingParts: CrashingParts;
 
+  readonly crashingRequests: CrashingRequests;
+
+  readonly requestCrashes: RequestCrashes;
+
   readonly engineSpeeds: EngineSpeeds;
 
   readonly evacuations: EvacuationView;
@@ -50,9 +56,21 @@
     this.records = new ServerRecords(clock);
     this.statements = new ServerStatements(services);
     this.crashingParts = new CrashingParts(clock);
+    this.crashingRequests = new CrashingRequests(clock);
+    this.requestCrashes = new RequestCrashes(this.crashingRequests, () => services.announce?.());
     this.engineSpeeds = new EngineSpeeds(clock);
     this.evacuations = new EvacuationView(clock);
     const { limits, departures, pauses, cold } = this.statements;
+    this.crashingParts.onFound(({ part, suspects, crashes }) =>
+      logger.warn('prompt part crashes servers', { part, suspects, crashes }),
+    );
+    this.crashingParts.onCleared(({ part }) => logger.info('prompt part cleared', { part }));
+    this.crashingRequests.onFound(({ request, crashes }) =>
+      logger.warn('request crashes servers', { fingerprint: request, crashes }),
+    );
+    this.crashingRequests.onCleared(({ request }) =>
+      logger.info('request cleared', { fingerprint: request }),
+    );
     limits.onChanged((change) => logger.info('server limit changed', { ...change }));
     departures.onChanged((departure) => logger.info('server leaves', { ...departure }));
     departures.onEnded((server) => logger.info('departure or grace time ended', { server }));
@@ -102,6 +120,7 @@
     | 'engines'
     | 'engineSpeeds'
     | 'crashEvidence'
+    | 'requestCrashEvidence'
     | 'serverLimits'
     | 'departures'
     | 'coldServers'
@@ -111,6 +130,7 @@
       engines: this.records.engineLoads(),
       engineSpeeds: this.engineSpeeds.report,
       crashEvidence: this.crashingParts.evidence,
+      requestCrashEvidence: this.crashingRequests.evidence,
       serverLimits: this.statements.limits.reports,
       departures: this.statements.departures.reports,
       coldServers: this.statements.cold?.reports ?? {},
@@ -123,6 +143,7 @@
     id,
     engineSpeeds,
     crashEvidence,
+    requestCrashEvidence,
     serverLimits,
     departures,
     coldServers,
@@ -130,6 +151,7 @@
   }: Heartbeat): void {
     this.engineSpeeds.merge(id, engineSpeeds);
     this.crashingParts.merge(crashEvidence);
+    this.crashingRequests.merge(requestCrashEvidence);
     this.statements.limits.merge(serverLimits);
     this.statements.departures.merge(departures);
     this.statements.cold?.merge(coldServers);
--- a/src/serving/ServingProcess.ts
+++ b/src/serving/ServingProcess.ts
@@ -1,7 +1,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { ServerDirectory } from '../common/serving/ServerDirectory.js';
 import { ConfigurationView } from './ConfigurationView.js';
-import { CrashingPartTable } from './CrashingPartTable.js';
+import { CrashCauseTable } from './CrashCauseTable.js';
 import { BackendConnections } from './BackendConnections.js';
 import { departureBoundsOf } from './DepartureBounds.js';
 import { followServers } from './followServers.js';
@@ -19,6 +19,7 @@
 import { StageClient, toStageTask } from './StageClient.js';
 import { createClientHandling, serverConnectionLimits } from './createClientHandling.js';
 import { createRequestRunner } from './createRequestRunner.js';
+import { storedCrashCauses } from './StoredCrashCauses.js';
 import { StoreEra } from './StoreEra.js';
 import { StoreFollowers } from './StoreFollowers.js';
 import { followStoreTables, serverDeliveryTimeoutMs } from './StoreTables.js';
@@ -66,7 +67,7 @@
 
   private readonly observations: ServerObservations;
 
-  private readonly crashingPartTable: CrashingPartTable;
+  private readonly crashCauseTable: CrashCauseTable;
 
   private readonly ingress: Ingress;
 
@@ -115,7 +116,7 @@
       cold: shares.coldServices,
       announce: () => this.peerServer.announce(),
     });
-    const { statements, crashingParts, evacuations } = this.observations;
+    const { statements, evacuations } = this.observations;
     const { departures } = statements;
     registerStateGauges(metrics, this.observations, this.storeEra, () => this.configuration.state);
     const isKnownService = (service: string) => {
@@ -157,7 +158,12 @@
       directory: this.directory,
       routeTable,
     };
-    this.batcher = new StageBatcher({ ...commonServices, retryBudgets, statements });
+    this.batcher = new StageBatcher({
+      ...commonServices,
+      retryBudgets,
+      statements,
+      crashes: this.observations.requestCrashes,
+    });
     const stageClient = new StageClient({
       ownId: settings.id,
       clock,
@@ -225,13 +231,12 @@
       storeEra: this.storeEra,
       processShares: shares.processes,
     });
-    this.crashingPartTable = new CrashingPartTable({
-      table: options.names.crashingPartTable,
+    this.crashCauseTable = new CrashCauseTable({
+      table: options.names.crashCauseTable,
       feed: this.followers.openFeed(),
-      clock,
       logger,
       random: options.random,
-      crashingParts,
+      kinds: storedCrashCauses(this.observations, clock),
     });
     this.peerServer = new PeerServer({
       ip: settings.ip,
@@ -293,7 +298,7 @@
       evacuations: this.observations.evacuations,
       registrations: this.registrations,
       membership: this.membership,
-      crashingPartTable: this.crashingPartTable,
+      crashCauseTable: this.crashCauseTable,
     });
     this.delayedChangeTimer = setInterval(() => {
       this.observations.statements.check();
@@ -340,7 +345,7 @@
   async dispose(): Promise<void> {
     clearInterval(this.delayedChangeTimer);
     this.membership.dispose();
-    this.crashingPartTable.dispose();
+    this.crashCauseTable.dispose();
     this.peerServer.dispose();
     this.channelServer.dispose();
     this.peerClients.dispose();
--- a/src/serving/ServingProcessOptions.ts
+++ b/src/serving/ServingProcessOptions.ts
@@ -13,7 +13,7 @@
   readonly evacuationKeyPrefix: string;
   readonly serverTable: string;
   readonly memberTable: string;
-  readonly crashingPartTable: string;
+  readonly crashCauseTable: string;
 }
 
 /** Settings and platform-specific parts of a {@link ServingProcess}. */
--- a/src/serving/StageBatcher.ts
+++ b/src/serving/StageBatcher.ts
@@ -19,7 +19,8 @@
 import type { RetryBudgets } from './RetryBudgets.js';
 import type { BackendConnections } from './BackendConnections.js';
 import { ResultReleases } from './ResultReleases.js';
-import { StageCaller } from './StageCaller.js';
+import type { RequestCrashes } from './RequestCrashes.js';
+import { StageCaller, type EndedCall } from './StageCaller.js';
 import type { ServingProtocol } from './Types.js';
 
 /**
@@ -77,6 +78,8 @@
   readonly retryBudgets: RetryBudgets;
   /** What the servers say of themselves. */
   readonly statements: ServerStatements;
+  /** Requests under which servers ended. */
+  readonly crashes: RequestCrashes;
 }
 
 /**
@@ -267,9 +270,13 @@
     if (known) return known;
     const capacity = this.services.routeTable()?.service(service)?.stage;
     if (!capacity) return undefined;
-    const { clock, retryBudgets, statements } = this.services;
-    const mayRetry = () => retryBudgets.of(service).trySpend();
-    const queue = new StageQueue(clock, capacity, mayRetry, statements);
+    const { clock, retryBudgets, statements, crashes } = this.services;
+    const queue = new StageQueue(clock, capacity, {
+      limits: statements,
+      mayRetry: () => retryBudgets.of(service).trySpend(),
+      mustRunAlone: ({ fingerprint }) =>
+        fingerprint !== undefined && crashes.isSuspect(fingerprint, service),
+    });
     queue.updateServers(this.services.directory.usable(service));
     this.queues.set(service, queue);
     return queue;
@@ -288,9 +295,15 @@
     const queue = this.queues.get(service);
     if (!queue) return;
     this.notifyListeners(service, queue.removeExpired());
-    if (this.services.directory.isServiceEvacuated(service)) {
+    const { directory, crashes } = this.services;
+    if (directory.isServiceEvacuated(service)) {
       this.notifyListeners(service, queue.failWaiting());
     }
+    if (crashes.hasFound) {
+      const isRefused = ({ fingerprint }: StageTask) =>
+        fingerprint !== undefined && crashes.find(fingerprint, service) !== undefined;
+      this.notifyListeners(service, queue.failWaiting(isRefused));
+    }
     this.releases.add(queue.removeOrphans());
     queue.plan().forEach((call) => {
       this.sendCall(service, call).catch((error: unknown) =>
@@ -319,11 +332,22 @@
     });
   }
 
+  /** Records what the end of a call shows about the requests that had pieces in it. */
+  private recordCrash({ server, pieces }: PlannedCall, ended: EndedCall, runMs: number): void {
+    const { crashes } = this.services;
+    const fingerprints = () =>
+      new Set(pieces.flatMap(({ task: { fingerprint } }) => fingerprint ?? []));
+    if (ended.isConnectionLost) crashes.recordLost(server, fingerprints(), runMs);
+    else if (ended.outcome.kind === 'answered') crashes.recordSurvived(server, fingerprints);
+  }
+
   private async sendCall(service: string, call: PlannedCall): Promise<void> {
     const { clock, logger } = this.services;
     const { server, pieces, callId, expectedMs } = call;
     const startedAt = clock.now();
-    const { outcome, cause } = await this.caller.send(call);
+    const ended = await this.caller.send(call);
+    const { outcome, cause } = ended;
+    this.recordCrash(call, ended, clock.now() - startedAt);
     logger[outcome.kind === 'answered' ? 'info' : 'warn']('stage call ended', {
       service,
       server: server.id,
--- a/src/serving/StageCaller.ts
+++ b/src/serving/StageCaller.ts
@@ -23,6 +23,8 @@
 export interface EndedCall {
   readonly outcome: CallOutcome;
   readonly cause: string | number;
+  /** Whether the server closed the connection without a response, as it also does when it ends. */
+  readonly isConnectionLost?: boolean;
 }
 
 /** A response that was compared with its call. */
@@ -66,8 +68,8 @@
       },
     );
     if (response.kind === 'failed') {
-      const { kind, message } = response.failure;
-      return { outcome: { kind }, cause: message };
+      const { kind, message, isConnectionLost } = response.failure;
+      return { outcome: { kind }, cause: message, isConnectionLost };
     }
     return checked!;
   }
--- a/src/serving/StageRunner.ts
+++ b/src/serving/StageRunner.ts
@@ -6,6 +6,7 @@
 import { StageGraph, type ReadyStage } from '../common/serving/StageGraph.js';
 import type { TaskOutcome } from '../common/serving/Types.js';
 import type { CallerRequest } from './CallerRequest.js';
+import { fingerprintOf } from './RequestFingerprint.js';
 import type { ServingMetrics } from './ServingMetrics.js';
 import type { StageClient } from './StageClient.js';
 
@@ -162,6 +163,7 @@
         resultBytes,
         inputBytes: ready.inputBytes,
         work: `${request.route.name}/${ready.stage}`,
+        fingerprint: fingerprintOf(request),
         ...(preferredDomain !== undefined && { preferredDomain }),
         priority: request.priority,
         dueAt: request.dueAt - typicalRemainingMs,
--- a/src/serving/StoreTables.ts
+++ b/src/serving/StoreTables.ts
@@ -2,7 +2,7 @@
 import type { EvacuationRow, EvacuationView } from '../common/serving/EvacuationView.js';
 import type { FeedRow } from '../storage/RowFeed.js';
 import type { ConfigurationView } from './ConfigurationView.js';
-import type { CrashingPartTable } from './CrashingPartTable.js';
+import type { CrashCauseTable } from './CrashCauseTable.js';
 import type { RegistrationView } from './RegistrationView.js';
 import type { StoreNames } from './ServingProcessOptions.js';
 import type { StoreFollowers } from './StoreFollowers.js';
@@ -32,7 +32,7 @@
   readonly evacuations: EvacuationView;
   readonly registrations: RegistrationView;
   readonly membership: Membership;
-  readonly crashingPartTable: CrashingPartTable;
+  readonly crashCauseTable: CrashCauseTable;
 }
 
 /**
@@ -43,7 +43,7 @@
 export function followStoreTables(
   followers: StoreFollowers,
   names: StoreNames,
-  { configuration, evacuations, registrations, membership, crashingPartTable }: StoreViews,
+  { configuration, evacuations, registrations, membership, crashCauseTable }: StoreViews,
 ): void {
   const applyConfiguration = (rows: readonly FeedRow[], era: number) => {
     rows
@@ -76,9 +76,9 @@
     replaceAll: (rows) => membership.replaceRows(rows),
     apply: (rows) => membership.applyRows(rows),
   });
-  followers.follow(names.crashingPartTable, HEARTBEAT_BACKED_WAITS, {
-    replaceAll: (rows) => crashingPartTable.replaceAll(rows),
-    apply: (rows) => crashingPartTable.apply(rows),
+  followers.follow(names.crashCauseTable, HEARTBEAT_BACKED_WAITS, {
+    replaceAll: (rows) => crashCauseTable.replaceAll(rows),
+    apply: (rows) => crashCauseTable.apply(rows),
   });
 }
 
--- a/src/serving/createRequestRunner.ts
+++ b/src/serving/createRequestRunner.ts
@@ -3,7 +3,9 @@
 import type { HedgeSettings } from '../common/serving/HedgeSettings.js';
 import type { ServerDirectory } from '../common/serving/ServerDirectory.js';
 import { Hedging, type HedgingServices } from './Hedging.js';
+import { CrashGuard } from './CrashGuard.js';
 import { PromptGuard } from './PromptGuard.js';
+import { RequestGuard } from './RequestGuard.js';
 import { RequestRunner, type RequestRunnerServices } from './RequestRunner.js';
 import type { ServerObservations } from './ServerObservations.js';
 import { ServerSelection, type ServerSelectionServices } from './ServerSelection.js';
@@ -31,12 +33,15 @@
  */
 export function createRequestRunner(parts: RequestRunnerParts): RequestRunner {
   const { clock, metrics, observations, directory, stageClient, routeTable } = parts;
-  const { records, statements, crashingParts, engineSpeeds } = observations;
+  const { records, statements, crashingParts, requestCrashes, engineSpeeds } = observations;
   const placement = new EnginePlacement(clock, records, engineSpeeds);
   directory.onRemoved(({ id }) => placement.forget(id));
   const selection = new ServerSelection({ ...parts, records, statements, placement });
-  const promptGuard = new PromptGuard(clock, crashingParts, metrics);
-  const services = { ...parts, records, statements, selection, promptGuard };
+  const crashGuard = new CrashGuard([
+    new PromptGuard(clock, crashingParts, metrics),
+    new RequestGuard(clock, requestCrashes, metrics),
+  ]);
+  const services = { ...parts, records, statements, selection, crashGuard };
   return new RequestRunner({
     ...services,
     placement,
--- a/src/serving/peers/PeerMessages.ts
+++ b/src/serving/peers/PeerMessages.ts
@@ -7,6 +7,7 @@
 } from '../../common/serving/ConfigurationState.js';
 import { ColdServerReports } from '../../common/serving/ColdServers.js';
 import { CrashEvidence } from '../../common/serving/CrashingParts.js';
+import { RequestCrashEvidence } from '../../common/serving/CrashingRequests.js';
 import { EvacuationReport } from '../../common/serving/EvacuationView.js';
 import { ServerDepartureReports } from '../../common/serving/ServerDepartures.js';
 import { ServerLimitReports } from '../../common/serving/ServerLimits.js';
@@ -50,6 +51,8 @@
   engineSpeeds: EngineSpeedReport.default({ window: 0, engines: {} }),
   /** What the sender knows about prompt parts that crash servers; older versions send none. */
   crashEvidence: CrashEvidence.default({ crashes: [], completed: {} }),
+  /** What the sender knows about requests that crash servers; older versions send none. */
+  requestCrashEvidence: RequestCrashEvidence.default({ crashes: [], completed: {} }),
   /** Limits that servers named in responses to the sender; older versions send none. */
   serverLimits: ServerLimitReports.default({}),
   /** Servers that the sender knows to leave; older versions send none. */
@@ -79,6 +82,8 @@
   resultBytes: z.number(),
   inputBytes: z.number(),
   work: z.string(),
+  /** Identifies the request when it is repeated; older versions send none. */
+  fingerprint: z.string().optional(),
   preferredDomain: z.string().optional(),
   priority: z.number(),
   /** Time in which the stage must end to meet the latency objective, in ms; negative if missed. */
--- a/src/serving/peers/testing/fixtures.ts
+++ b/src/serving/peers/testing/fixtures.ts
@@ -19,6 +19,7 @@
     engines: {},
     engineSpeeds: { window: 0, engines: {} },
     crashEvidence: { crashes: [], completed: {} },
+    requestCrashEvidence: { crashes: [], completed: {} },
     serverLimits: {},
     departures: {},
     coldServers: {},
