crashing requests: every process learns of a response that clears a request

A sound request that was lost with three servers stayed refused for an hour at all processes but the one that completed a copy of it: completions were passed on only with crashes that the same process had seen. They are passed on by themselves now. Ids in evidence are bounded, since a row of another writer with a long one would have made the heartbeats of all processes too large for a datagram.

Found when reading the change; a test for each.

--- a/src/common/serving/CrashingRequests.test.ts
+++ b/src/common/serving/CrashingRequests.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 import { CrashingRequests } from './CrashingRequests.js';
+import { RequestCrashEvidence } from './RequestCrashEvidence.js';
 import { ManualClock } from './testing/ManualClock.js';
 
 const HOUR_MS = 3_600_000;
@@ -165,6 +166,26 @@
     assert.equal(requests.found.size, 0);
   });
 
+  it('clears a request that another process has completed than those that lost it', () => {
+    const { clock, requests } = createRequests();
+    const peer = new CrashingRequests(clock);
+    ['a', 'b', 'c'].forEach((server, index) => {
+      clock.set(index * 100);
+      requests.recordCrash(server, 'request', 70);
+    });
+    peer.merge(requests.evidence);
+    clock.set(300);
+    peer.recordCompletion('request');
+    requests.merge(peer.evidence);
+    assert.equal(requests.found.size, 0);
+  });
+
+  it('with ids that do not fit into a heartbeat is not read', () => {
+    const requests: [string, number][] = [['r'.repeat(1000), 1]];
+    const crashes = [{ server: 'a', ageMs: 0, requests }];
+    assert.equal(RequestCrashEvidence.safeParse({ crashes, completed: {} }).success, false);
+  });
+
   it('is bounded, and reaches a process that starts later as a whole', () => {
     const { clock, requests } = createRequests();
     for (let crash = 0; crash < 100; crash += 1) {
--- a/src/common/serving/CrashingRequests.ts
+++ b/src/common/serving/CrashingRequests.ts
@@ -1,26 +1,6 @@
-import { z } from 'zod';
 import { Emitter } from '../events/Emitter.js';
 import type { Clock } from '../time/Types.js';
-
-/** A request that ran on a server when it ended, and the time since it was sent there, in ms. */
-const RunningRequest = z.tuple([z.string().max(200), z.number().min(0)]);
-
-/** A server that ended, and the requests that were lost with it. */
-const RequestCrash = z.object({
-  /** Identifies the incarnation of the server. */
-  server: z.string(),
-  /** Time since the crash, in ms. */
-  ageMs: z.number().min(0),
-  requests: z.array(RunningRequest),
-});
-
-/** What a process knows about requests that may crash servers; sent to its peers. */
-export const RequestCrashEvidence = z.object({
-  crashes: z.array(RequestCrash),
-  /** Time since the last complete response, in ms, for requests of the crashes. */
-  completed: z.record(z.string(), z.number().min(0)),
-});
-export type RequestCrashEvidence = z.infer<typeof RequestCrashEvidence>;
+import type { RequestCrashEvidence } from './RequestCrashEvidence.js';
 
 /** A request that crashes servers. */
 export interface CrashingRequest {
@@ -113,6 +93,9 @@
 const RECENT_MS = 5000;
 const MAX_RECENT_CRASHES = 6;
 
+/** Maximum number of complete responses of that age that are sent to the peers each time. */
+const MAX_RECENT_COMPLETIONS = 32;
+
 /**
  * Number of crashes that are sent in turn with the suspects among their requests, for processes that
  * start or were cut off.
@@ -192,13 +175,16 @@
     const isSent = (crash: Crash, request: string) =>
       (recent.includes(crash) && crash.losses.get(request)!.isOwn) ||
       (repeated.includes(crash) && this.suspects.has(request));
-    return this.toEvidence([...new Set([...recent, ...repeated])], isSent);
+    return {
+      crashes: this.toRecords([...new Set([...recent, ...repeated])], isSent),
+      completed: this.recentCompletions(now),
+    };
   }
 
   /** @returns evidence to store: the crashes of a request found */
   evidenceAgainst(request: string): RequestCrashEvidence {
     const crashes = this.crashesOf(request).slice(-MAX_STORED_CRASHES);
-    return { ...this.toEvidence(crashes, (_, id) => id === request), completed: {} };
+    return { crashes: this.toRecords(crashes, (_, id) => id === request), completed: {} };
   }
 
   /**
@@ -279,6 +265,8 @@
     if (completion.at <= (this.completions.get(request)?.at ?? -Infinity)) return false;
     if (!this.crashesByRequest.has(request)) return false;
     const isCleared = this.crashesOf(request).some(({ at }) => at < completion.at);
+    // The latest ones are the last.
+    this.completions.delete(request);
     this.completions.set(request, completion);
     return isCleared;
   }
@@ -351,12 +339,19 @@
       .forEach((crash) => this.removeCrash(crash));
   }
 
-  private toEvidence(
+  private recentCompletions(now: number): Record<string, number> {
+    const recent = [...this.completions]
+      .filter(([, { at, isOwn }]) => isOwn && now - at <= RECENT_MS)
+      .slice(-MAX_RECENT_COMPLETIONS);
+    return Object.fromEntries(recent.map(([request, { at }]) => [request, now - at]));
+  }
+
+  private toRecords(
     crashes: readonly Crash[],
     isSent: (crash: Crash, request: string) => boolean,
-  ): RequestCrashEvidence {
+  ): RequestCrashEvidence['crashes'] {
     const now = this.clock.now();
-    const sent = crashes
+    return crashes
       .map((crash) => ({
         server: crash.server,
         ageMs: now - crash.at,
@@ -365,13 +360,6 @@
           .map(([request, { sinceSendMs }]): [string, number] => [request, sinceSendMs]),
       }))
       .filter(({ requests }) => requests.length > 0);
-    const completed = sent.flatMap(({ requests }) =>
-      requests.flatMap(([request]) => {
-        const completion = this.completions.get(request);
-        return completion?.isOwn ? [[request, now - completion.at] as const] : [];
-      }),
-    );
-    return { crashes: sent, completed: Object.fromEntries(completed) };
   }
 }
 
--- a/src/serving/StoredCrashingRequests.ts
+++ b/src/serving/StoredCrashingRequests.ts
@@ -1,5 +1,6 @@
 import { z } from 'zod';
 import type { CrashingRequests } from '../common/serving/CrashingRequests.js';
+import { EvidenceId } from '../common/serving/RequestCrashEvidence.js';
 import type { Clock } from '../common/time/Types.js';
 import type { StoredCauses } from './CrashCauseTable.js';
 
@@ -11,10 +12,10 @@
 
 /** Row of a request that crashes servers, with the evidence against it. */
 const StoredRequest = z.object({
-  request: z.string(),
+  request: EvidenceId,
   crashes: z.array(
     z.object({
-      server: z.string(),
+      server: EvidenceId,
       /** Unix time, in ms. */
       at: z.number(),
       /** Time from the send to the crash, in ms. */
--- a/src/serving/peers/PeerMessages.ts
+++ b/src/serving/peers/PeerMessages.ts
@@ -7,7 +7,7 @@
 } from '../../common/serving/ConfigurationState.js';
 import { ColdServerReports } from '../../common/serving/ColdServers.js';
 import { CrashEvidence } from '../../common/serving/CrashingParts.js';
-import { RequestCrashEvidence } from '../../common/serving/CrashingRequests.js';
+import { RequestCrashEvidence } from '../../common/serving/RequestCrashEvidence.js';
 import { EvacuationReport } from '../../common/serving/EvacuationView.js';
 import { ServerDepartureReports } from '../../common/serving/ServerDepartures.js';
 import { ServerLimitReports } from '../../common/serving/ServerLimits.js';
