--- a/src/common/serving/RouteTable.ts
+++ b/src/common/serving/RouteTable.ts
@@ -13,6 +13,9 @@
 
   private readonly servicesByName = new Map<string, ServiceDefinition>();
 
+  /** Names of the services that run stages of requests, in alphabetical order. */
+  readonly stageServices: readonly string[];
+
   constructor(readonly configuration: ServingConfiguration) {
     configuration.routes.forEach((route) => {
       const host = route.host.toLowerCase();
@@ -28,6 +31,10 @@
       account.apiKeys.forEach((key) => this.accountsByKey.set(key, account));
     });
     configuration.services.forEach((service) => this.servicesByName.set(service.name, service));
+    this.stageServices = configuration.services
+      .filter(({ stage }) => stage !== undefined)
+      .map(({ name }) => name)
+      .sort();
   }
 
   get version(): number {
--- a/src/serving/ServingProcess.ts
+++ b/src/serving/ServingProcess.ts
@@ -14,7 +14,7 @@
 import { ServingMetrics } from './ServingMetrics.js';
 import type { ServingProcessOptions } from './ServingProcessOptions.js';
 import { parseSocketAddress } from './SocketAddress.js';
-import { registerStateGauges } from './StateGauges.js';
+import { registerLoadGauges, registerStateGauges } from './StateGauges.js';
 import { StageBatcher } from './StageBatcher.js';
 import { StageClient, toStageTask } from './StageClient.js';
 import { createClientHandling, serverConnectionLimits } from './createClientHandling.js';
@@ -119,6 +119,10 @@
     const { statements, evacuations } = this.observations;
     const { departures } = statements;
     registerStateGauges(metrics, this.observations, this.storeEra, () => this.configuration.state);
+    registerLoadGauges(
+      metrics,
+      () => this.stageServices.filter((service) => this.isBatching(service)).length,
+    );
     const isKnownService = (service: string) => {
       const { routeTable: routes } = this.configuration;
       return routes === undefined || routes.service(service) !== undefined;
@@ -362,6 +366,11 @@
     if (this.directory.size !== before) this.batcher.updateServers();
   }
 
+  /** Names of the stage services of the configuration in force. */
+  private get stageServices(): readonly string[] {
+    return this.configuration.routeTable?.stageServices ?? [];
+  }
+
   /** Second internal port, for stage requests; the first serves calls, heartbeats and metrics. */
   private get channelPort(): number {
     return this.options.settings.internalPorts[1];
--- a/src/serving/StateGauges.ts
+++ b/src/serving/StateGauges.ts
@@ -3,6 +3,30 @@
 import type { ServerObservations } from './ServerObservations.js';
 import type { StoreEra } from './StoreEra.js';
 
+const MICROSECONDS_PER_SECOND = 1_000_000;
+
+/**
+ * Registers the load of a process: its processor time, and the stage services that it batches for all.
+ * @param metrics - metrics of the process
+ * @param batchedServices - returns the number of stage services that the process batches
+ */
+export function registerLoadGauges({ meter }: Metrics, batchedServices: () => number): void {
+  meter
+    .createObservableCounter('processor_time', {
+      unit: 's',
+      description: 'Processor time that the process has used',
+    })
+    .addCallback((result) => {
+      const { user, system } = process.cpuUsage();
+      result.observe((user + system) / MICROSECONDS_PER_SECOND);
+    });
+  meter
+    .createObservableGauge('services_batched', {
+      description: 'Stage services that the process batches for all processes',
+    })
+    .addCallback((result) => result.observe(batchedServices()));
+}
+
 /**
  * Registers gauges of the state that decides which servers and configurations are used.
  * @param metrics - metrics of the process
