known red: one process batches most stage services

Stage services are assigned to processes independently of each other. With three processes and three services, one of them batches at least two in 7 of 9 cases, and its delays count for most stages of all requests. The test asks each process of 40 fleets and fails on the current code.

--- a/src/serving/ServingProcess.ts
+++ b/src/serving/ServingProcess.ts
@@ -3,6 +3,7 @@
 import { ConfigurationView } from './ConfigurationView.js';
 import { CrashCauseTable } from './CrashCauseTable.js';
 import { BackendConnections } from './BackendConnections.js';
+import { batchingWeight } from './BatchingWeight.js';
 import { departureBoundsOf } from './DepartureBounds.js';
 import { followServers } from './followServers.js';
 import { Ingress } from './Ingress.js';
@@ -46,9 +47,6 @@
 /** Interval at which a stopping process checks for running requests, in ms. */
 const STOP_CHECK_INTERVAL_MS = 50;
 
-/** Bandwidth from which on the traffic of batching is negligible, in Mbit/s. */
-const SUFFICIENT_LINK_MBPS = 200;
-
 /** One process that serves callers, batches stages and exchanges state with its peers. */
 export class ServingProcess {
   private readonly directory: ServerDirectory;
@@ -119,10 +117,7 @@
     const { statements, evacuations } = this.observations;
     const { departures } = statements;
     registerStateGauges(metrics, this.observations, this.storeEra, () => this.configuration.state);
-    registerLoadGauges(
-      metrics,
-      () => this.stageServices.filter((service) => this.isBatching(service)).length,
-    );
+    registerLoadGauges(metrics, () => this.peerView.batchedServices.length);
     const isKnownService = (service: string) => {
       const { routeTable: routes } = this.configuration;
       return routes === undefined || routes.service(service) !== undefined;
@@ -140,7 +135,11 @@
       () => this.batcher.updateServers(),
       () => serverDeliveryTimeoutMs(this.peerView.processCount),
     );
-    this.peerView = new PeerView(clock, () => this.createHeartbeat());
+    this.peerView = new PeerView(
+      clock,
+      () => this.createHeartbeat(),
+      () => this.configuration.routeTable?.stageServices ?? [],
+    );
     const { ratio, slack, windowSeconds } = settings.retryBudget;
     const processCount = () => this.peerView.processCount;
     const allowance = { ratio, slack, windowMs: windowSeconds * 1000 };
@@ -366,11 +365,6 @@
     if (this.directory.size !== before) this.batcher.updateServers();
   }
 
-  /** Names of the stage services of the configuration in force. */
-  private get stageServices(): readonly string[] {
-    return this.configuration.routeTable?.stageServices ?? [];
-  }
-
   /** Second internal port, for stage requests; the first serves calls, heartbeats and metrics. */
   private get channelPort(): number {
     return this.options.settings.internalPorts[1];
@@ -381,12 +375,6 @@
     return `${ip}:${internalPorts[0]}`;
   }
 
-  /** Weight in the choice of batching processes: small instances on slow links come last. */
-  private get batchingWeight(): number {
-    const { coreShare, cores, linkMbps } = this.options.settings.instance;
-    return coreShare * cores * Math.min(1, linkMbps / SUFFICIENT_LINK_MBPS);
-  }
-
   private createHeartbeat(): Heartbeat {
     const { settings } = this.options;
     return {
@@ -394,7 +382,7 @@
       incarnation: this.incarnation,
       address: this.peerAddress,
       channel: `${settings.ip}:${this.channelPort}`,
-      weight: this.batchingWeight,
+      weight: batchingWeight(settings.instance),
       isLeaving: this.isStopping,
       configurationVersion: this.configuration.version,
       configurationState: this.configuration.state,
--- a/src/serving/peers/PeerView.test.ts
+++ b/src/serving/peers/PeerView.test.ts
@@ -47,6 +47,37 @@
     assert.equal(view.isLive(third), false);
   });
 
+  it('divides the stage services evenly among the processes', () => {
+    // Guards against one process that is on the way of most stages and delays the requests of all.
+    const services = ['encode', 'rank', 'retrieve'];
+    for (let fleet = 0; fleet < 40; fleet += 1) {
+      const ids = services.map((_, index) => `front-${fleet}-${index}`);
+      const viewOf = (own: string, leaving?: string) => {
+        const heartbeat = (id: string) => createHeartbeat(id, { isLeaving: id === leaving });
+        const view = new PeerView(
+          new ManualClock(),
+          () => heartbeat(own),
+          () => services,
+        );
+        ids.filter((id) => id !== own).forEach((id) => view.recordHeartbeat(heartbeat(id)));
+        return view;
+      };
+      const assignment = (view: PeerView) => services.map((name) => view.batchingProcessId(name));
+      const assigned = assignment(viewOf(ids[0]!));
+      assert.equal(new Set(assigned).size, services.length);
+      ids.forEach((id) => assert.deepEqual(assignment(viewOf(id)), assigned));
+      const remaining = assignment(viewOf(ids[0]!, ids[0]));
+      assert.deepEqual(new Set(remaining), new Set(ids.slice(1)));
+      // The order of the questions does not matter, nor a service that a process does not know yet.
+      const view = viewOf(ids[1]!);
+      assert.ok(ids.includes(view.batchingProcessId('unknown')));
+      assert.deepEqual(
+        services.toReversed().map((name) => view.batchingProcessId(name)),
+        assigned.toReversed(),
+      );
+    }
+  });
+
   it('returns the latest load of the batching process', () => {
     const { view } = createView(4);
     const { id } = view.batchingProcess('retrieval');
--- a/src/serving/peers/PeerView.ts
+++ b/src/serving/peers/PeerView.ts
@@ -74,10 +74,13 @@
   /**
    * @param clock - time source
    * @param ownHeartbeat - creates the heartbeat of this process
+   * @param stageServices - returns the stage services of the configuration, in the same order in all
+   *   processes
    */
   constructor(
     private readonly clock: Clock,
     private readonly ownHeartbeat: () => Heartbeat,
+    private readonly stageServices: () => readonly string[] = () => [],
   ) {}
 
   /** Records a heartbeat; one of an earlier incarnation is ignored while the later one is alive. */
@@ -154,6 +157,12 @@
     return id;
   }
 
+  /** Stage services of the configuration that this process batches. */
+  get batchedServices(): readonly string[] {
+    const { id } = this.currentOwn();
+    return this.stageServices().filter((service) => this.batchingProcessId(service) === id);
+  }
+
   /**
    * Divides the limit of a server among the first processes by hash of its id.
    * @param serverId - id of the server
