batching: stage services are divided evenly among the processes

Every request passes the batching process of each of its stages, and services were assigned to processes independently of each other: with three of each, one process batches two or three services in 7 of 9 cases, and its delays on half a core count two or three times for each request. Now a process gets a second service only when each one has a service; all processes compute the same assignment from the services of the configuration.

--- a/src/serving/peers/PeerView.ts
+++ b/src/serving/peers/PeerView.ts
@@ -152,8 +152,12 @@
     if (chosenId !== undefined) return chosenId;
     const ownHeartbeat = this.currentOwn();
     choices.candidates ??= this.batchingCandidates(ownHeartbeat);
-    const { id } = rankByHash(choices.candidates, service)[0] ?? ownHeartbeat;
-    choices.processByService.set(service, id);
+    const { candidates, processByService } = choices;
+    const assigned = assignEvenly(this.stageServices(), candidates);
+    assigned.forEach((id, name) => processByService.set(name, id));
+    // A peer of a newer configuration may send stages of a service that is not known here yet.
+    const id = assigned.get(service) ?? rankByHash(candidates, service)[0]?.id ?? ownHeartbeat.id;
+    processByService.set(service, id);
     return id;
   }
 
@@ -263,6 +267,30 @@
   }
 }
 
+/**
+ * Assigns each service to the first process by hash among those with the fewest services. Each stage of
+ * a request passes the process that batches its service, so one that batched most of the services
+ * would delay the requests of all.
+ * @param services - services, in the same order in all processes
+ * @param candidates - processes that may batch
+ * @returns id of the process of each service; empty without candidates
+ */
+function assignEvenly(
+  services: readonly string[],
+  candidates: readonly Heartbeat[],
+): ReadonlyMap<string, string> {
+  const assigned = new Map<string, string>();
+  let free: readonly Heartbeat[] = [];
+  services.forEach((service) => {
+    if (free.length === 0) free = candidates;
+    const [first] = rankByHash(free, service);
+    if (!first) return;
+    assigned.set(service, first.id);
+    free = free.filter(({ id }) => id !== first.id);
+  });
+  return assigned;
+}
+
 /** Whether a process has to be considered anew as a batching process. */
 function isOtherCandidate(known: Heartbeat, heartbeat: Heartbeat): boolean {
   return (
