versions: a stream goes on only at the software version that began it

Callers got complete answers whose text was joined from two versions of a service. No process read the version of a registration, so a stream that broke off went on at any server. Pinning alone is not enough: callers take streams up at other processes, and all processes may lose power at once.

- A stream is pinned to the version of the server that sent its first events, within one answer and for hedges.
- A take-up names the attempt that brought the first event.
Processes remember at which version they sent each resumable stream.
While a service has several versions, the records go to the peers by heartbeat and to the store, many in one write; with a single version nothing is written.
Rows from before a restore of the store do not count as complete, and those of an earlier life are read before they are replaced.
- What is unknown, or whose version has no server, is refused with 503 before any stage runs.

--- a/src/common/serving/RouteTable.ts
+++ b/src/common/serving/RouteTable.ts
@@ -5,6 +5,12 @@
   ServingConfiguration,
 } from './ServingConfiguration.js';
 
+/** Lower bound of the time for which streams are remembered, in ms. */
+export const MIN_STREAM_LIFETIME_MS = 10_000;
+
+/** Attempts of a caller after another that may each take the time-out of the route. */
+const ATTEMPTS = 2;
+
 /** Looks up routes, services and client accounts in one version of the configuration. */
 export class RouteTable {
   private readonly routesByHost = new Map<string, Route[]>();
@@ -16,6 +22,9 @@
   /** Names of the services that run stages of requests, in alphabetical order. */
   readonly stageServices: readonly string[];
 
+  /** Longest time from the begin of a resumable stream until its caller takes it up again, in ms. */
+  readonly streamLifetimeMs: number;
+
   constructor(readonly configuration: ServingConfiguration) {
     configuration.routes.forEach((route) => {
       const host = route.host.toLowerCase();
@@ -35,6 +44,10 @@
       .filter(({ stage }) => stage !== undefined)
       .map(({ name }) => name)
       .sort();
+    const timeouts = configuration.routes
+      .filter(({ isResumable }) => isResumable)
+      .map(({ timeoutMs }) => timeoutMs);
+    this.streamLifetimeMs = Math.max(MIN_STREAM_LIFETIME_MS, ATTEMPTS * Math.max(0, ...timeouts));
   }
 
   get version(): number {
--- a/src/common/serving/ServingConfiguration.ts
+++ b/src/common/serving/ServingConfiguration.ts
@@ -134,6 +134,8 @@
   slots: z.number().int().min(1),
   /** Whether the server is to get no new work. */
   isDraining: z.boolean(),
+  /** Version of the server's software; absent if the registration names none. */
+  version: z.string().optional(),
   /** Start of the server's process, in Unix ms. A restarted server has lost its state. */
   startedAtMs: z.number().optional(),
   /** Number of the registration within the server's life; a later one has a higher number. */
--- a/src/serving/CallerRequest.ts
+++ b/src/serving/CallerRequest.ts
@@ -38,5 +38,10 @@
 
 /** Whether the request may run more than once. */
 export function isRetryable({ route }: CallerRequest): boolean {
-  return route.kind === 'safe' || (route.kind === 'streaming' && route.isResumable);
+  return route.kind === 'safe' || isResumable({ route });
+}
+
+/** Whether the response is a stream that may go on at another server after its last event. */
+export function isResumable({ route }: Pick<CallerRequest, 'route'>): boolean {
+  return route.kind === 'streaming' && route.isResumable;
 }
--- a/src/serving/FailoverPolicy.test.ts
+++ b/src/serving/FailoverPolicy.test.ts
@@ -13,7 +13,8 @@
 /** @returns request that may run on two servers, as far as the policy reads it */
 function createRequest(overrides: Partial<CallerRequest['route']> = {}): CallerRequest {
   const route = { kind: 'safe', objectiveMs: OBJECTIVE_MS, maxServers: 2, ...overrides };
-  return { route, deadlineAt: DEADLINE_MS } as CallerRequest;
+  const response = { hasStarted: false };
+  return { route, response, deadlineAt: DEADLINE_MS } as CallerRequest;
 }
 
 /** @returns policy with a number of retries left, for a service that has other servers or not */
--- a/src/serving/FailoverPolicy.ts
+++ b/src/serving/FailoverPolicy.ts
@@ -71,9 +71,9 @@
   }
 
   private mayMove(
-    { route, deadlineAt }: CallerRequest,
-    { service }: BackendServer,
-    { possibleRuns, sends, triedServerIds, hasConcurrentSend }: ForwardProgress,
+    { route, deadlineAt, response }: CallerRequest,
+    { service, version }: BackendServer,
+    { possibleRuns, sends, triedServerIds, pinned, hasConcurrentSend }: ForwardProgress,
     waitedMs: number,
   ): boolean {
     const { selection, retryBudgets, clock } = this.services;
@@ -85,7 +85,10 @@
       // Another server may take as long as this one.
       deadlineAt - clock.now() >= waitedMs &&
       retryBudgets.of(service).canSpend &&
-      selection.hasOther(service, triedServerIds)
+      selection.hasOther(service, {
+        triedServerIds,
+        pinned: pinned ?? (response.hasStarted ? { version } : undefined),
+      })
     );
   }
 }
--- a/src/serving/Hedging.ts
+++ b/src/serving/Hedging.ts
@@ -4,7 +4,7 @@
 import type { ServerStatements } from '../common/serving/ServerStatements.js';
 import type { BackendServer } from '../common/serving/ServingConfiguration.js';
 import type { Clock } from '../common/time/Types.js';
-import type { CallerRequest } from './CallerRequest.js';
+import { isResumable, type CallerRequest } from './CallerRequest.js';
 import { canFailOver, MAX_SEND_ATTEMPTS } from './FailoverPolicy.js';
 import { isSuccess, type ForwardOutcome } from './ForwardOutcome.js';
 import type { ForwardProgress } from './ForwardProgress.js';
@@ -94,7 +94,7 @@
 
   /** @returns server of the hedge, which is charged to the budgets; undefined for no hedge */
   private chooseServer(
-    { request, service, progress, results }: HedgeableSend,
+    { request, service, server: first, progress, results }: HedgeableSend,
     plan: HedgePlan,
   ): BackendServer | undefined {
     const { clock, policy, selection, retryBudgets, crashGuard, metrics } = this.services;
@@ -104,7 +104,14 @@
     const excluded = new Set(progress.triedServerIds);
     candidates.filter(({ id }) => !targets.has(id)).forEach(({ id }) => excluded.add(id));
     if (targets.size === 0) return undefined;
-    const server = selection.choose(request, service, excluded, results);
+    // Both sends of a resumable stream are at one version, so that it is known before either answers.
+    const pinned = isResumable(request) ? { version: first.version } : progress.pinned;
+    const server = selection.choose(
+      request,
+      service,
+      { triedServerIds: excluded, pinned },
+      results,
+    );
     if (!server || excluded.has(server.id)) return undefined;
     if (!retryBudgets.of(service).trySpend(RETRY_BUDGET_SHARE)) return undefined;
     policy.recordHedge(service);
--- a/src/serving/RequestRunner.ts
+++ b/src/serving/RequestRunner.ts
@@ -12,16 +12,18 @@
 import { forwardBuffered, type ForwardServices } from './BufferedForwarder.js';
 import type { Hedging } from './Hedging.js';
 import type { StageResults, StageRunner } from './StageRunner.js';
+import { chooseService } from './ServiceChoice.js';
 import { StageAdmissionCheck } from './StageAdmissionCheck.js';
 import { StreamForwarder } from './StreamForwarder.js';
 import type { PeerView } from './peers/PeerView.js';
-import { ForwardProgress } from './ForwardProgress.js';
+import { ForwardProgress, type PinnedVersion } from './ForwardProgress.js';
 import type { Guard } from './CrashGuard.js';
 import { RequestLog, type Refusal } from './RequestLog.js';
 import { ResponseProgress } from './ResponseProgress.js';
 import type { RetryBudgets } from './RetryBudgets.js';
-import type { ServerSelection } from './ServerSelection.js';
+import { NOT_TRIED, type ServerSelection } from './ServerSelection.js';
 import type { ServingMetrics } from './ServingMetrics.js';
+import { isTakeUp, type StreamVersions } from './StreamVersions.js';
 
 /** Status with which a server reports that the stage results in a request's inputs are missing. */
 const INPUTS_MISSING_STATUS = 409;
@@ -52,6 +54,7 @@
   readonly stageRunner: StageRunner;
   readonly retryBudgets: RetryBudgets;
   readonly peerView: PeerView;
+  readonly streamVersions: StreamVersions;
   readonly random: () => number;
   /** Undefined if requests are not hedged. */
   readonly hedging?: Hedging | undefined;
@@ -111,20 +114,27 @@
 
   /** Processes one request until its final response is sent or its caller has left. */
   async run(request: CallerRequest): Promise<void> {
-    const service = this.chooseService(request);
+    const target = chooseService(request.route, this.services.random);
+    const continuation = isTakeUp(request)
+      ? await this.services.streamVersions.continuationOf(request, target)
+      : { service: target };
+    const { service, pinned } = continuation;
     this.services.retryBudgets.of(service).recordRequest();
     this.services.hedging?.recordRequest(service);
     const refusal =
-      this.services.crashGuard.refusalOf(request) ?? this.admissionRefusal(request, service);
+      this.services.crashGuard.refusalOf(request) ??
+      continuation.refusal ??
+      this.admissionRefusal(request, service);
     if (refusal) {
       this.refuse(request, refusal.reason, refusal.retryAfterMs);
       return;
     }
-    const results = await this.runStages(request, service);
+    const results = await this.runStages(request, service, pinned);
     if (!results) return;
     const release = once(() => results.release());
     try {
-      await this.forwardWithRetries(request, service, results, release);
+      const progress = new ForwardProgress(request.attributes.lastEventId, pinned);
+      await this.forwardWithRetries(request, { service, progress, results, release });
     } finally {
       release();
     }
@@ -151,6 +161,7 @@
   private async runStages(
     request: CallerRequest,
     service: string,
+    pinned: PinnedVersion | undefined,
   ): Promise<Extract<StageResults, { kind: 'done' }> | undefined> {
     const needsStages = request.attributes.pieceCounts.some((pieces) => pieces > 0);
     if (request.route.stages.length === 0 || !needsStages) {
@@ -160,7 +171,12 @@
     const cancellation = new Cancellation(request.cancellation);
     const subscription = crashGuard.onRefused(request, () => cancellation.cancel());
     // The engine that would be chosen now.
-    const engineDomain = selection.choose(request, service, new Set(), [])?.failureDomain;
+    const engineDomain = selection.choose(
+      request,
+      service,
+      { ...NOT_TRIED, pinned },
+      [],
+    )?.failureDomain;
     const results = await stageRunner.run(request, engineDomain, cancellation);
     subscription.dispose();
     cancellation.dispose();
@@ -181,15 +197,9 @@
     return undefined;
   }
 
-  private async forwardWithRetries(
-    request: CallerRequest,
-    service: string,
-    results: Extract<StageResults, { kind: 'done' }>,
-    release: () => void,
-  ): Promise<void> {
+  private async forwardWithRetries(request: CallerRequest, context: SendContext): Promise<void> {
     const { selection, hedging } = this.services;
-    const progress = new ForwardProgress(request.attributes.lastEventId);
-    const context: SendContext = { service, progress, results, release };
+    const { service, progress, results } = context;
     let nextStep: NextStep = 'retry';
     while (nextStep === 'retry') {
       const refusal = this.services.crashGuard.refusalOf(request);
@@ -197,7 +207,7 @@
         this.sendFailure(request, progress, refusal.reason, refusal.retryAfterMs);
         return;
       }
-      const server = selection.choose(request, service, progress.triedServerIds, results.results);
+      const server = selection.choose(request, service, progress, results.results);
       const mayRetry =
         progress.deliveries === 0 || this.services.retryBudgets.of(service).trySpend();
       if (!server) {
@@ -254,18 +264,6 @@
     return { reason: 'all servers are at their limits or pause', retryAfterMs };
   }
 
-  private chooseService({ route, id }: CallerRequest): string {
-    const total = route.targets.reduce((sum, { weight }) => sum + weight, 0);
-    let point = this.services.random() * total;
-    const chosen = route.targets.find(({ weight }) => {
-      point -= weight;
-      return point < 0;
-    });
-    const [first] = route.targets;
-    if (!chosen && !first) throw new Error(`route without a service for request ${id}`);
-    return (chosen ?? first)!.service;
-  }
-
   /** Sends a request to one server and records the outcome. */
   private async forward(
     request: CallerRequest,
@@ -283,6 +281,7 @@
     const { tokens: reportedTokens } = this.services.peerView.engineLoad(server.id);
     const recordFirstEvent = placement.measureFirstEvent(server, tokens, reportedTokens);
     if (promptParts.length > 0) placement.recordParts(server.id, promptParts);
+    this.services.streamVersions.recordSend(request, server);
     records.begin(server.id, tokens);
     const markPrefilled = once(() => records.markPrefilled(server.id, tokens));
     const options: ForwardOptions = {
@@ -309,7 +308,7 @@
       markPrefilled();
       records.end(server.id);
     }
-    progress.recordOutcome(outcome);
+    progress.recordOutcome(outcome, server);
     metrics.recordForward(service, outcome.kind);
     this.log.recordForward(request, server, outcome, { sends }, responseProgress);
     return outcome;
--- a/src/serving/ServerObservations.ts
+++ b/src/serving/ServerObservations.ts
@@ -4,6 +4,8 @@
 import { EvacuationView } from '../common/serving/EvacuationView.js';
 import type { ColdSource } from '../common/serving/ServerColdState.js';
 import { ServerRecords } from '../common/serving/ServerRecords.js';
+import { ServiceVersions } from '../common/serving/ServiceVersions.js';
+import { StreamOrigins } from '../common/serving/StreamOrigins.js';
 import {
   ServerStatements,
   type ServerStatementsServices,
@@ -21,12 +23,21 @@
 /** Sources of cold periods that peers do not see at the same time. */
 const OWN_DISCOVERIES: ReadonlySet<ColdSource> = new Set(['response', 'refusal', 'unreadable']);
 
+/**
+ * Age up to which streams are part of heartbeats, in ms, and most of them: the peers get each one
+ * several times, also if the store is silent and datagrams are lost.
+ */
+const ANNOUNCED_STREAM_AGE_MS = 2000;
+const MAX_ANNOUNCED_STREAMS = 200;
+
 /** Dependencies of {@link ServerObservations}. */
 export interface ServerObservationsServices extends ServerStatementsServices {
   readonly logger: Logger;
   readonly protocol: ServingProtocol;
   /** Sends the peers a heartbeat soon. */
   readonly announce?: () => void;
+  /** @returns longest time from the begin of a stream until it is taken up, in ms */
+  readonly streamLifetimeMs: () => number;
 }
 
 /** What this process and its peers know about backend servers besides their registrations. */
@@ -45,6 +56,10 @@
 
   readonly evacuations: EvacuationView;
 
+  readonly serviceVersions: ServiceVersions;
+
+  readonly streamOrigins: StreamOrigins;
+
   private readonly protocol: ServingProtocol;
 
   private readonly logger: Logger;
@@ -60,6 +75,12 @@
     this.requestCrashes = new RequestCrashes(this.crashingRequests, () => services.announce?.());
     this.engineSpeeds = new EngineSpeeds(clock);
     this.evacuations = new EvacuationView(clock);
+    this.serviceVersions = new ServiceVersions(clock, services.streamLifetimeMs);
+    this.streamOrigins = new StreamOrigins(clock, services.streamLifetimeMs);
+    this.serviceVersions.onChanged(() => {
+      if (!this.serviceVersions.hasSeveral) return;
+      logger.info('service has several versions', { versions: this.serviceVersions.several });
+    });
     const { limits, departures, pauses, cold } = this.statements;
     this.crashingParts.onFound(({ part, suspects, crashes }) =>
       logger.warn('prompt part crashes servers', { part, suspects, crashes }),
@@ -114,6 +135,12 @@
     this.statements.recordRefusedConnection(server);
   }
 
+  /** Ends what is over. Called several times a second. */
+  check(): void {
+    this.statements.check();
+    this.serviceVersions.check();
+  }
+
   /** The part of a heartbeat that peers {@link merge}. */
   get heartbeat(): Pick<
     Heartbeat,
@@ -125,6 +152,7 @@
     | 'departures'
     | 'coldServers'
     | 'evacuations'
+    | 'streams'
   > {
     return {
       engines: this.records.engineLoads(),
@@ -135,6 +163,12 @@
       departures: this.statements.departures.reports,
       coldServers: this.statements.cold?.reports ?? {},
       evacuations: this.evacuations.report,
+      streams: {
+        versions: this.serviceVersions.own,
+        begun: this.serviceVersions.hasSeveral
+          ? this.streamOrigins.ownGroups(ANNOUNCED_STREAM_AGE_MS, MAX_ANNOUNCED_STREAMS)
+          : [],
+      },
     };
   }
 
@@ -148,6 +182,7 @@
     departures,
     coldServers,
     evacuations,
+    streams,
   }: Heartbeat): void {
     this.engineSpeeds.merge(id, engineSpeeds);
     this.crashingParts.merge(crashEvidence);
@@ -156,6 +191,10 @@
     this.statements.departures.merge(departures);
     this.statements.cold?.merge(coldServers);
     this.evacuations.merge(evacuations, id);
+    if (streams) {
+      this.serviceVersions.recordReport(streams.versions);
+      this.streamOrigins.learn(streams.begun);
+    } else this.serviceVersions.markIncomplete();
   }
 
   /** Discards what belongs to a server that was removed or has restarted. */
--- a/src/serving/ServerSelection.test.ts
+++ b/src/serving/ServerSelection.test.ts
@@ -6,7 +6,7 @@
 import { createServer } from '../common/serving/testing/fixtures.js';
 import { ManualClock } from '../common/serving/testing/ManualClock.js';
 import type { CallerRequest } from './CallerRequest.js';
-import { ServerSelection, type ServerSelectionServices } from './ServerSelection.js';
+import { NOT_TRIED, ServerSelection, type ServerSelectionServices } from './ServerSelection.js';
 
 /** @returns selection among two cold and two warm servers with two slots, for one process of 30 */
 function createSelection(share: number) {
@@ -35,7 +35,7 @@
   } as unknown as ServerSelectionServices;
   const selection = new ServerSelection(services);
   const choose = () => {
-    const server = selection.choose({} as CallerRequest, 'retrieval', new Set(), []);
+    const server = selection.choose({} as CallerRequest, 'retrieval', NOT_TRIED, []);
     if (server) {
       statements.recordRequest(server);
       records.begin(server.id, 0);
--- a/src/serving/ServerSelection.ts
+++ b/src/serving/ServerSelection.ts
@@ -5,6 +5,7 @@
 import type { ServerStatements } from '../common/serving/ServerStatements.js';
 import type { BackendServer } from '../common/serving/ServingConfiguration.js';
 import type { CallerRequest } from './CallerRequest.js';
+import { isAllowed, type PinnedVersion } from './ForwardProgress.js';
 import type { ServingProtocol } from './Types.js';
 import type { PeerView } from './peers/PeerView.js';
 
@@ -27,6 +28,17 @@
   readonly bytes: number;
 }
 
+/** Which servers a request has tried, and at which version its stream goes on. */
+export interface SelectionProgress {
+  /** Servers that are chosen only if there is no other one. */
+  readonly triedServerIds: ReadonlySet<string>;
+  /** Undefined if the request may run at any version. */
+  readonly pinned?: PinnedVersion | undefined;
+}
+
+/** Progress of a request that has not been sent. */
+export const NOT_TRIED: SelectionProgress = { triedServerIds: new Set() };
+
 /** Chooses the backend servers of callers' requests. */
 export class ServerSelection {
   constructor(private readonly services: ServerSelectionServices) {}
@@ -34,19 +46,21 @@
   /**
    * @param request - caller's request
    * @param service - service that runs it
-   * @param triedServerIds - servers that are chosen only if there is no other one
+   * @param progress - servers that were tried, and the version at which its stream goes on
    * @param results - stage results that the request reads
    * @returns the server to send the request to now; undefined if there is none
    */
   choose(
     request: CallerRequest,
     service: string,
-    triedServerIds: ReadonlySet<string>,
+    { triedServerIds, pinned }: SelectionProgress,
     results: readonly StoredResult[],
   ): BackendServer | undefined {
     const { directory, records, statements, placement, protocol, peerView } = this.services;
     const { failureDomain, random } = this.services;
-    const usable = directory.usable(service).filter((server) => statements.mayRequest(server));
+    const usable = directory
+      .usable(service)
+      .filter((server) => statements.mayRequest(server) && isAllowed(server, pinned));
     const untried = usable.filter(({ id }) => !triedServerIds.has(id));
     const candidates = this.preferWarm(records.healthy(untried.length > 0 ? untried : usable));
     const isEngine = this.services.routeTable()?.service(service)?.engine !== undefined;
@@ -74,12 +88,14 @@
 
   /**
    * @param service - service of backend servers
-   * @param triedServerIds - servers that do not count
+   * @param progress - servers that do not count, and the version that the other one must have
    * @returns whether another server without too many recent failures may get a request now
    */
-  hasOther(service: string, triedServerIds: ReadonlySet<string>): boolean {
+  hasOther(service: string, { triedServerIds, pinned }: SelectionProgress): boolean {
     const { directory, records, statements } = this.services;
-    const usable = directory.usable(service).filter((server) => statements.mayRequest(server));
+    const usable = directory
+      .usable(service)
+      .filter((server) => statements.mayRequest(server) && isAllowed(server, pinned));
     return records.healthy(usable).some(({ id }) => !triedServerIds.has(id));
   }
 
--- a/src/serving/ServingMetrics.ts
+++ b/src/serving/ServingMetrics.ts
@@ -3,7 +3,13 @@
 
 /** Reasons of refusals that are counted. */
 export type RefusalReason =
-  'crashing-prompt' | 'crashing-request' | 'limited-servers' | 'overloaded-stages' | 'evacuated';
+  | 'crashing-prompt'
+  | 'crashing-request'
+  | 'limited-servers'
+  | 'overloaded-stages'
+  | 'evacuated'
+  | 'unknown-version'
+  | 'departed-version';
 
 /** What happens to a hedge: each one that is sent is either won or wasted in the end. */
 export type HedgeEvent = 'sent' | 'won' | 'wasted';
--- a/src/serving/ServingProcess.ts
+++ b/src/serving/ServingProcess.ts
@@ -1,9 +1,9 @@
 import { setTimeout as sleep } from 'node:timers/promises';
+import { MIN_STREAM_LIFETIME_MS } from '../common/serving/RouteTable.js';
 import { ServerDirectory } from '../common/serving/ServerDirectory.js';
 import { ConfigurationView } from './ConfigurationView.js';
 import { CrashCauseTable } from './CrashCauseTable.js';
 import { BackendConnections } from './BackendConnections.js';
-import { batchingWeight } from './BatchingWeight.js';
 import { departureBoundsOf } from './DepartureBounds.js';
 import { followServers } from './followServers.js';
 import { Ingress } from './Ingress.js';
@@ -20,12 +20,15 @@
 import { StageClient, toStageTask } from './StageClient.js';
 import { createClientHandling, serverConnectionLimits } from './createClientHandling.js';
 import { createRequestRunner } from './createRequestRunner.js';
+import { createStreamTable } from './createStreamTable.js';
+import type { StreamOriginTable } from './StreamOriginTable.js';
 import { storedCrashCauses } from './StoredCrashCauses.js';
 import { StoreEra } from './StoreEra.js';
 import { StoreFollowers } from './StoreFollowers.js';
 import { followStoreTables, serverDeliveryTimeoutMs } from './StoreTables.js';
 import { ChannelServer } from './peers/ChannelServer.js';
 import { Membership } from './peers/Membership.js';
+import { createHeartbeatState, identityOf } from './HeartbeatState.js';
 import type { Heartbeat } from './peers/PeerMessages.js';
 import { PeerClients } from './peers/PeerClients.js';
 import { createPeerRouter } from './peers/PeerRouter.js';
@@ -67,6 +70,8 @@
 
   private readonly crashCauseTable: CrashCauseTable;
 
+  private readonly streamTable: StreamOriginTable;
+
   private readonly ingress: Ingress;
 
   private readonly readinessServer: ReadinessServer;
@@ -81,7 +86,8 @@
 
   private readonly membership: Membership;
 
-  private readonly incarnation: number;
+  /** The part of heartbeats that does not change. */
+  private readonly identity: ReturnType<typeof identityOf>;
 
   private delayedChangeTimer: NodeJS.Timeout | undefined;
 
@@ -95,7 +101,7 @@
 
   constructor(private readonly options: ServingProcessOptions) {
     const { clock, logger, settings, protocol, metrics } = options;
-    this.incarnation = clock.wallTime();
+    this.identity = identityOf(settings, clock.wallTime());
     this.peerClients = new PeerClients(logger);
     const shares = new ServerShares({
       clock,
@@ -104,6 +110,7 @@
       peerView: () => this.peerView,
       routeTable: () => this.configuration.routeTable,
     });
+    this.configuration = new ConfigurationView(clock, options.decoder, logger);
     this.observations = new ServerObservations({
       clock,
       logger,
@@ -113,6 +120,8 @@
       limitShareOf: (server, requestsPerS) => shares.limitShareOf(server, requestsPerS),
       cold: shares.coldServices,
       announce: () => this.peerServer.announce(),
+      streamLifetimeMs: () =>
+        this.configuration.routeTable?.streamLifetimeMs ?? MIN_STREAM_LIFETIME_MS,
     });
     const { statements, evacuations } = this.observations;
     const { departures } = statements;
@@ -126,7 +135,6 @@
     evacuations.onChanged(() => this.batcher.updateServers());
     departures.onChanged(() => this.batcher.updateServers());
     departures.onEnded(() => this.batcher.updateServers());
-    this.configuration = new ConfigurationView(clock, options.decoder, logger);
     this.registrations = new RegistrationView(
       clock,
       this.directory,
@@ -175,6 +183,23 @@
       peerClients: this.peerClients,
       peerView: this.peerView,
     });
+    this.followers = new StoreFollowers({
+      createFeed: () => options.createFeed(settings.store),
+      logger,
+      fleet: () => this.peerView.fleetPosition,
+      random: options.random,
+      storeEra: this.storeEra,
+    });
+    this.streamTable = createStreamTable({
+      clock,
+      logger,
+      feed: this.followers.openFeed(),
+      table: options.names.streamTable,
+      ownId: settings.id,
+      processCount,
+      observations: this.observations,
+      storeEra: this.storeEra,
+    });
     const servingMetrics = new ServingMetrics(metrics);
     const runner = createRequestRunner({
       ...commonServices,
@@ -182,6 +207,7 @@
       failureDomain: settings.failureDomain,
       observations: this.observations,
       stageClient,
+      streamTable: this.streamTable,
       retryBudgets,
       peerView: this.peerView,
       random: options.random,
@@ -212,16 +238,9 @@
       },
       logger,
     );
-    this.followers = new StoreFollowers({
-      createFeed: () => options.createFeed(settings.store),
-      logger,
-      fleet: () => this.peerView.fleetPosition,
-      random: options.random,
-      storeEra: this.storeEra,
-    });
     this.membership = new Membership({
       clock,
-      ownRow: { id: settings.id, address: this.peerAddress },
+      ownRow: { id: settings.id, address: this.identity.address },
       table: options.names.memberTable,
       feed: this.followers.openFeed(),
       logger,
@@ -292,7 +311,7 @@
   async start(): Promise<void> {
     const { settings, names, logger } = this.options;
     await this.peerServer.start();
-    await this.channelServer.listen(settings.ip, this.channelPort);
+    await this.channelServer.listen(settings.ip, settings.internalPorts[1]);
     await this.readinessServer.listen(settings.listen.readiness);
     const callers = parseSocketAddress(settings.listen.callers);
     await this.ingress.listen(callers.ip, callers.port);
@@ -304,13 +323,13 @@
       crashCauseTable: this.crashCauseTable,
     });
     this.delayedChangeTimer = setInterval(() => {
-      this.observations.statements.check();
+      this.observations.check();
       this.expireRemovals();
     }, DELAYED_CHANGE_INTERVAL_MS);
     this.membership
       .announce()
       .catch((error: unknown) => logger.error('announcing the member row failed', { error }));
-    logger.info('started', { id: settings.id, incarnation: this.incarnation });
+    logger.info('started', { id: settings.id, incarnation: this.identity.incarnation });
   }
 
   /**
@@ -349,6 +368,7 @@
     clearInterval(this.delayedChangeTimer);
     this.membership.dispose();
     this.crashCauseTable.dispose();
+    this.streamTable.dispose();
     this.peerServer.dispose();
     this.channelServer.dispose();
     this.peerClients.dispose();
@@ -365,33 +385,12 @@
     if (this.directory.size !== before) this.batcher.updateServers();
   }
 
-  /** Second internal port, for stage requests; the first serves calls, heartbeats and metrics. */
-  private get channelPort(): number {
-    return this.options.settings.internalPorts[1];
-  }
-
-  private get peerAddress(): string {
-    const { ip, internalPorts } = this.options.settings;
-    return `${ip}:${internalPorts[0]}`;
-  }
-
   private createHeartbeat(): Heartbeat {
-    const { settings } = this.options;
+    const { configuration, registrations, batcher, observations } = this;
     return {
-      id: settings.id,
-      incarnation: this.incarnation,
-      address: this.peerAddress,
-      channel: `${settings.ip}:${this.channelPort}`,
-      weight: batchingWeight(settings.instance),
+      ...this.identity,
       isLeaving: this.isStopping,
-      configurationVersion: this.configuration.version,
-      configurationState: this.configuration.state,
-      serverEra: this.registrations.position.era,
-      serverVersion: this.registrations.position.version,
-      serverDigest: this.registrations.digest,
-      backlogs: this.batcher.backlogs(),
-      stageLoads: this.batcher.loads(),
-      ...this.observations.heartbeat,
+      ...createHeartbeatState({ configuration, registrations, batcher, observations }),
     };
   }
 }
--- a/src/serving/ServingProcessOptions.ts
+++ b/src/serving/ServingProcessOptions.ts
@@ -14,6 +14,7 @@
   readonly serverTable: string;
   readonly memberTable: string;
   readonly crashCauseTable: string;
+  readonly streamTable: string;
 }
 
 /** Settings and platform-specific parts of a {@link ServingProcess}. */
--- /dev/null
+++ b/src/serving/StreamVersions.ts
@@ -0,0 +1,110 @@
+import type { ServerDirectory } from '../common/serving/ServerDirectory.js';
+import type { ServiceVersions } from '../common/serving/ServiceVersions.js';
+import type { BackendServer } from '../common/serving/ServingConfiguration.js';
+import type { StreamOrigin, StreamOrigins } from '../common/serving/StreamOrigins.js';
+import { isResumable, type CallerRequest } from './CallerRequest.js';
+import { isAllowed, type PinnedVersion } from './ForwardProgress.js';
+import type { Refusal } from './RequestLog.js';
+import type { ServingMetrics } from './ServingMetrics.js';
+import type { StreamOriginTable } from './StreamOriginTable.js';
+
+/** Retry-After if the version of a stream is unknown or has no server, in ms. */
+const RETRY_MS = 500;
+
+/** Where a request runs. */
+export interface Continuation {
+  readonly service: string;
+  /** Version at which the stream goes on; undefined for any. */
+  readonly pinned?: PinnedVersion;
+  /** Why the stream cannot go on; undefined if it can. */
+  readonly refusal?: Refusal;
+}
+
+/** Dependencies of {@link StreamVersions}. */
+export interface StreamVersionsServices {
+  readonly directory: Pick<ServerDirectory, 'usable'>;
+  readonly origins: StreamOrigins;
+  readonly versions: ServiceVersions;
+  readonly table: Pick<StreamOriginTable, 'load' | 'record'>;
+  readonly metrics: Pick<ServingMetrics, 'recordRefusal'>;
+}
+
+/** Whether the caller takes up a stream whose first events it has received. */
+export function isTakeUp(request: Pick<CallerRequest, 'route' | 'attributes'>): boolean {
+  return isResumable(request) && request.attributes.lastEventId !== undefined;
+}
+
+/**
+ * Lets a stream that a caller takes up go on only at the software version that began it: servers do not
+ * check this, and what two versions write does not fit together.
+ */
+export class StreamVersions {
+  constructor(private readonly services: StreamVersionsServices) {}
+
+  /**
+   * Records at which version a stream begins or goes on. Called before the request is sent, so that the
+   * store usually knows it before the first event.
+   */
+  recordSend(request: CallerRequest, { service, version }: BackendServer): void {
+    if (!isResumable(request) || version === undefined) return;
+    const { attemptId, resumedAttemptId } = request.attributes;
+    const streamId = isTakeUp(request) ? resumedAttemptId : attemptId;
+    if (streamId === undefined) return;
+    const { origins, versions, table } = this.services;
+    const known = origins.find(streamId);
+    origins.begin(streamId, { service, version });
+    const isKnown = known?.service === service && known.version === version;
+    if (!isKnown && (versions.hasSeveral || hasSeveralTargets(request))) table.record(streamId);
+  }
+
+  /**
+   * @param request - request that takes up a stream
+   * @param target - service to which the request would go otherwise
+   * @returns where the stream goes on, or why it cannot
+   */
+  async continuationOf(request: CallerRequest, target: string): Promise<Continuation> {
+    const origin = await this.originOf(request, target);
+    if (!origin) return this.refusal(target, 'unknown-version', 'version of the stream is unknown');
+    const { service, version } = origin;
+    const isTarget = request.route.targets.some((each) => each.service === service);
+    const pinned = { version };
+    const { directory } = this.services;
+    if (!isTarget || !directory.usable(service).some((server) => isAllowed(server, pinned))) {
+      return this.refusal(target, 'departed-version', 'no server of the version of the stream');
+    }
+    return { service, pinned };
+  }
+
+  private async originOf(
+    request: CallerRequest,
+    target: string,
+  ): Promise<StreamOrigin | undefined> {
+    const { table } = this.services;
+    const known = this.knownOrigin(request, target);
+    if (known || request.attributes.resumedAttemptId === undefined) return known;
+    await table.load();
+    return this.knownOrigin(request, target);
+  }
+
+  private knownOrigin(request: CallerRequest, target: string): StreamOrigin | undefined {
+    const { origins, versions } = this.services;
+    const { resumedAttemptId } = request.attributes;
+    const recorded = resumedAttemptId === undefined ? undefined : origins.find(resumedAttemptId);
+    if (recorded) return recorded;
+    const only = hasSeveralTargets(request) ? undefined : versions.only(target);
+    return only === undefined ? undefined : { service: target, version: only };
+  }
+
+  private refusal(
+    service: string,
+    kind: 'unknown-version' | 'departed-version',
+    reason: string,
+  ): Continuation {
+    this.services.metrics.recordRefusal(kind);
+    return { service, refusal: { reason, retryAfterMs: RETRY_MS } };
+  }
+}
+
+function hasSeveralTargets({ route }: Pick<CallerRequest, 'route'>): boolean {
+  return route.targets.length > 1;
+}
--- a/src/serving/Types.ts
+++ b/src/serving/Types.ts
@@ -22,6 +22,8 @@
   readonly pieceKey?: string;
   /** Id of the last event that the caller received, if it resumes a stream. */
   readonly lastEventId?: string;
+  /** Id of the caller's attempt that brought the first event of the stream that it resumes. */
+  readonly resumedAttemptId?: string;
 }
 
 /** Attributes that the headers of a forwarded request carry. */
--- a/src/serving/createRequestRunner.ts
+++ b/src/serving/createRequestRunner.ts
@@ -11,6 +11,8 @@
 import { ServerSelection, type ServerSelectionServices } from './ServerSelection.js';
 import type { StageClient } from './StageClient.js';
 import { StageRunner } from './StageRunner.js';
+import type { StreamOriginTable } from './StreamOriginTable.js';
+import { StreamVersions } from './StreamVersions.js';
 
 /** Dependencies of {@link createRequestRunner}. */
 export interface RequestRunnerParts
@@ -23,6 +25,7 @@
   readonly directory: ServerDirectory;
   readonly observations: ServerObservations;
   readonly stageClient: StageClient;
+  readonly streamTable: StreamOriginTable;
   readonly secondSends: HedgeSettings | undefined;
 }
 
@@ -41,7 +44,14 @@
     new PromptGuard(clock, crashingParts, metrics),
     new RequestGuard(clock, requestCrashes, metrics),
   ]);
-  const services = { ...parts, records, statements, selection, crashGuard };
+  const streamVersions = new StreamVersions({
+    directory,
+    metrics,
+    origins: observations.streamOrigins,
+    versions: observations.serviceVersions,
+    table: parts.streamTable,
+  });
+  const services = { ...parts, records, statements, selection, crashGuard, streamVersions };
   return new RequestRunner({
     ...services,
     placement,
--- a/src/serving/followServers.ts
+++ b/src/serving/followServers.ts
@@ -17,16 +17,24 @@
   connections: BackendConnections,
   logger: Logger,
 ): void {
-  const { statements, evacuations } = observations;
+  const { statements, evacuations, serviceVersions } = observations;
   directory.onRemoved((server) => {
     logger.info('backend server gone', { server: server.id, service: server.service });
     connections.disconnect(server);
     observations.forget(server);
+    serviceVersions.removeServer(server.id);
   });
   directory.onChanged((server) => {
-    const { id, service, isDraining, address } = server;
+    const { id, service, isDraining, address, version } = server;
     statements.recordRegistration(server);
-    logger.info('backend server registered', { server: id, service, isDraining, address });
+    serviceVersions.recordServer(server);
+    logger.info('backend server registered', {
+      server: id,
+      service,
+      version,
+      isDraining,
+      address,
+    });
   });
   logEvacuations(evacuations, directory, logger);
   // The servers of a domain that returns look idle to all processes at once.
