--- a/src/common/serving/RouteTable.ts
+++ b/src/common/serving/RouteTable.ts
@@ -8,7 +8,7 @@
 /** Lower bound of the time for which streams are remembered, in ms. */
 export const MIN_STREAM_LIFETIME_MS = 10_000;
 
-/** Attempts of a caller after another that may each take the time-out of the route. */
+/** Consecutive attempts of a caller, each of which may take the time-out of its route. */
 const ATTEMPTS = 2;
 
 /** Looks up routes, services and client accounts in one version of the configuration. */
@@ -22,7 +22,7 @@
   /** Names of the services that run stages of requests, in alphabetical order. */
   readonly stageServices: readonly string[];
 
-  /** Longest time from the begin of a resumable stream until its caller takes it up again, in ms. */
+  /** Longest time from the start of a resumable stream until its caller resumes it, in ms. */
   readonly streamLifetimeMs: number;
 
   constructor(readonly configuration: ServingConfiguration) {
