Review case 10: an older record of a stream's version wins over a newer one

Streams that began at v2 after a crash of their v1 workers go on at v1 after all machines lost power (ORDER): rows of the table of streams are read in the order of their keys.

--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+cd "$(dirname "$0")" && exec node run.mjs
