Review case 10: a prompt part that crashes workers is never found in long sessions

If eight or more parts that were never answered come before the part that crashes workers, it isn't kept with the crashes, and each request with it ends a further worker (BUDGET).

--- a/review/10/run.mjs
+++ b/review/10/run.mjs
@@ -1,7 +1,4 @@
-/**
- * During a release some of the older workers crash before they have begun their streams, which then begin at
- * newer ones. Soon all machines lose power, and clients take up the streams.
- */
+/** A part of prompts crashes each worker that begins to answer a request with it; the prompts have many parts. */
 import { setTimeout as sleep } from 'node:timers/promises';
 import { attempt, newId } from '../shared-2/client.mjs';
 import { configuration, HOST, KEY, streamingRoute } from '../shared-2/configuration.mjs';
@@ -9,40 +6,48 @@
 import { Store } from '../shared-2/store.mjs';
 import { Worker } from '../shared-2/worker.mjs';
 
-const DEADLINE_MS = 6000;
-const STREAMS = 48;
+const CONTACT_MS = 3000;
 
-/** Streams that the rule allows to hold events of two versions. */
-const ALLOWED = 2;
+/** Crash after which the rule begins to count, and requests that it allows from then on. */
+const COUNTED_AFTER = 5;
+const ALLOWED = 3;
 
-/** Streams that begin before, one a second at each machine. */
-const EARLIER = 10;
-const EARLIER_GAP_MS = 1030;
+/** Requests with the part, and time between two of them. */
+const DEADLY = 18;
+const DEADLY_GAP_MS = 1500;
+const SOUND_GAP_MS = 100;
 
-/** Time from the last of these until the others begin, and from then until some of the older workers crash. */
-const BEGIN_MS = 850;
-const CRASH_MS = 200;
+/** Parts of a session before the one that crashes workers, and time until the session goes on without it. */
+const SESSION_PARTS = Number(process.env.SESSION_PARTS ?? 10);
+const NEXT_MS = 700;
 
-/** Time until a worker begins a stream. */
-const FIRST_MS = 400;
-
-/** Time from the crash until all machines lose power. */
-const POWER_MS = 900;
-
-const RESTART_MS = 500;
+const BACK_MS = 3000;
+const WORKERS = 13;
 const ZONES = ['birmingham', 'nottingham', 'leicester', 'coventry'];
 
+const partId = () => newId().slice(0, 8);
+
 await runCase(import.meta.dirname, async (deployment, hasTrouble) => {
   const store = new Store();
   await store.start();
-  store.put('op', 'config', configuration({ routes: [streamingRoute({ attempts: 2, resumable: true })] }));
-  const add = (version, index) =>
-    new Worker({
-      store, service: 'pool', zone: ZONES[index % 4], version, deployment, isStreaming: true, gapMs: 130, events: 30, firstMs: FIRST_MS,
-    }).start();
-  const older = [];
-  for (let index = 0; index < 4; index += 1) older.push(await add('v1', index));
-  for (let index = 0; index < 4; index += 1) await add('v2', index);
+  store.put('op', 'config', configuration({ routes: [streamingRoute()] }));
+  const deadlyPart = partId();
+  const sharedParts = [partId(), partId()];
+  const crashes = [];
+  const workers = [];
+  for (let index = 0; index < WORKERS; index += 1) {
+    const worker = new Worker({ store, service: 'pool', zone: ZONES[index % 4], deployment, isStreaming: true, gapMs: 100, events: 8 });
+    const isDeadly = ({ headers }) =>
+      headers['citronstage-prompt-prefix'].split(',').slice(0, -1).some((part) => part.startsWith(`${deadlyPart}:`));
+    worker.isDeadly = isDeadly;
+    worker.crashesOn = (request) => hasTrouble && isDeadly(request);
+    worker.onCrash = () => {
+      if (!worker.server.listening) return;
+      crashes.push(performance.now());
+      worker.restart('v1', BACK_MS).then(() => worker.register('ready'));
+    };
+    workers.push(await worker.start());
+  }
   const machines = [
     await deployment.machine('front-1', '127.0.0.1', ZONES[0], store),
     await deployment.machine('front-2', '127.0.0.2', ZONES[1], store),
@@ -51,64 +56,56 @@
   await Promise.all(machines.map((machine) => machine.waitUntilReady()));
   await sleep(2000);
 
-  const send = (machine, id, extra, deadlineMs, onEvent) => {
-    const headers = {
-      'Citronstage-Attempt-Id': id,
-      Authorization: `Token ${KEY}`,
-      'Citronstage-Model': 'm',
-      'Citronstage-Token-Counts': '2368,90',
-      'Citronstage-Prompt-Prefix': `${newId()}:341,${newId()}:227,${newId()}:1800`,
-      ...extra,
-    };
-    return attempt(machine.front, { host: HOST, path: '/summary/1', headers, body: 'prompt', deadlineMs, onEvent });
-  };
-  for (let index = 0; index < EARLIER; index += 1) {
-    machines.forEach((machine) => send(machine, newId(), {}, DEADLINE_MS));
-    await sleep(index < EARLIER - 1 ? EARLIER_GAP_MS : BEGIN_MS);
-  }
-  const machineInRotation = async (preferred, leftMs) => {
-    while (leftMs() > 500) {
-      if (preferred.isRunning && (await preferred.isReady())) return preferred;
-      await sleep(100);
-    }
-    return undefined;
-  };
-  const streams = Array.from({ length: STREAMS }, (_, index) => ({ index, id: newId(), versions: new Set(), last: 0 }));
-  const clients = streams.map(async (stream) => {
-    const startedAt = performance.now();
-    const leftMs = () => DEADLINE_MS - (performance.now() - startedAt);
-    const onEvent = ({ id, data }) => {
-      stream.last = id;
-      stream.versions.add(data.split(' ')[1]);
-    };
-    const first = await send(machines[stream.index % 2], stream.id, {}, leftMs(), onEvent);
-    if (first.status === 200 && first.isComplete) return;
-    for (let retry = 0; retry < 2 && leftMs() > 500; retry += 1) {
-      const machine = await machineInRotation(machines[(stream.index + 1 + retry) % 2], leftMs);
-      if (!machine) return;
-      const from = stream.last;
-      const extra = from > 0 ? { Resumes: stream.id, 'Last-Event-Id': String(from) } : {};
-      const result = await send(machine, newId(), extra, leftMs(), onEvent);
-      deployment.note(`stream ${stream.id} taken up after event ${from} at ${machine.name}: ${result.status}, event ${stream.last}, of ${[...stream.versions].join(' and ')} ${result.status === 200 ? '' : result.text.trim()}`);
-      if (result.status === 200) return;
-      await sleep(Math.max(0, Math.min(Number(result.headers['retry-after'] ?? 0.5) * 1000, leftMs() / 3)));
-    }
-  });
-  await sleep(CRASH_MS);
-  if (hasTrouble) {
-    older.slice(0, 2).forEach((worker) => {
-      worker.stop();
-      deployment.note(`worker ${worker.id} (v1) crashes with ${worker.running} requests`);
+  const counts = { sound: 0, whole: 0 };
+  const send = (index, parts, headers = {}) =>
+    attempt(machines[index % 2].front, {
+      host: HOST,
+      path: `/summary/${index}`,
+      headers: {
+        'Citronstage-Attempt-Id': newId(),
+        Authorization: `Token ${KEY}`,
+        'Citronstage-Model': 'm',
+        'Citronstage-Token-Counts': '1460,24',
+        'Citronstage-Prompt-Prefix': [...parts, partId()].map((id) => `${id}:200`).join(','),
+        ...headers,
+      },
+      body: 'prompt',
+      deadlineMs: 6000,
     });
-    await sleep(POWER_MS);
-    machines.forEach((machine) => machine.signal('SIGKILL'));
-    await Promise.all(machines.map(({ exited }) => exited));
-    await sleep(RESTART_MS);
-    machines.forEach((machine) => machine.start());
+  let isOver = false;
+  const sound = (async () => {
+    const all = [];
+    for (let index = 0; !isOver; index += 1) {
+      counts.sound += 1;
+      all.push(send(index, sharedParts).then(({ status, isComplete }) => { counts.whole += status === 200 && isComplete ? 1 : 0; }));
+      await sleep(SOUND_GAP_MS);
+    }
+    await Promise.all(all);
+  })();
+  await sleep(2000);
+  const next = { whole: 0 };
+  const deadly = [];
+  for (let index = 0; index < DEADLY; index += 1) {
+    const session = [sharedParts[0], ...Array.from({ length: SESSION_PARTS }, partId)];
+    deadly.push(
+      send(index, [...session, deadlyPart]).then(({ status }) =>
+        deployment.note(`request ${index + 1} with the part: ${status}; ${crashes.length} crashes so far`),
+      ),
+    );
+    await sleep(NEXT_MS);
+    deadly.push(send(index, session).then(({ status, isComplete }) => { next.whole += status === 200 && isComplete ? 1 : 0; }));
+    await sleep(DEADLY_GAP_MS - NEXT_MS);
   }
-  await Promise.all(clients);
+  await Promise.all(deadly);
+  isOver = true;
+  await sound;
   store.stop();
-  const joined = streams.filter(({ versions }) => versions.size > 1);
-  deployment.note(`${joined.length} of ${STREAMS} streams hold events of two versions; the rule allows ${ALLOWED}`);
-  return joined.length > ALLOWED ? `${joined.length} streams with events of two software versions` : undefined;
+  deployment.note(`${DEADLY} sound requests of the same sessions, ${next.whole} answered whole`);
+  deployment.note(`${counts.sound} sound requests, ${counts.whole} answered whole; ${crashes.length} crashes`);
+  const countedFrom = (crashes[COUNTED_AFTER - 1] ?? Infinity) + CONTACT_MS;
+  const late = workers
+    .flatMap(({ runs }) => runs)
+    .filter(({ at, headers }) => at > countedFrom && workers[0].isDeadly({ headers }));
+  deployment.note(`${late.length} requests with the part reached workers later than ${CONTACT_MS} ms after the fifth crash; the rule allows ${ALLOWED}`);
+  return late.length > ALLOWED ? `${late.length} requests with the part reached workers` : undefined;
 });
--- a/review/shared-2/deployment.mjs
+++ b/review/shared-2/deployment.mjs
@@ -17,14 +17,25 @@
   bounds: { drain_ms: 2000, grace_s: 8, budget_ratio: 0.2, budget_slack: 58, budget_window_s: 10 },
 };
 
+/** Ports below those that the kernel gives to outgoing connections. */
+const FIRST_PORT = 12_000;
+const PORTS = 16_000;
+
+const taken = new Set();
+
 async function freePort(ip) {
-  const server = createServer();
-  server.listen(0, ip);
-  await once(server, 'listening');
-  const { port } = server.address();
-  server.close();
-  await once(server, 'close');
-  return port;
+  for (;;) {
+    const port = FIRST_PORT + Math.floor(Math.random() * PORTS);
+    const server = createServer();
+    const isFree = await new Promise((resolveFree) => {
+      server.once('error', () => resolveFree(false));
+      server.listen(port, ip, () => server.close(() => resolveFree(true)));
+    });
+    if (isFree && !taken.has(port)) {
+      taken.add(port);
+      return port;
+    }
+  }
 }
 
 function render(template, fields) {
--- a/review/shared-2/worker.mjs
+++ b/review/shared-2/worker.mjs
@@ -140,6 +140,12 @@
     await sleep(this.firstMs ?? this.gapMs);
     if (response.destroyed) return;
     response.writeHead(200, { ...headers, 'Content-Type': 'text/event-stream', 'Citronstage-Weight-Versions': '1' });
+    if (this.crashesOn?.(request)) {
+      response.write('id: 1\nda');
+      await sleep(5);
+      this.onCrash();
+      return;
+    }
     for (let event = after + 1; event <= this.events; event += 1) {
       response.write(`id: ${event}\ndata: ${event} ${this.version}\n\n`);
       await sleep(this.gapMs);
