--- a/review/6/run.mjs
+++ b/review/6/run.mjs
@@ -21,6 +21,8 @@
   bounds: { drain_ms: 3000, budget_slack: 102 },
 };
 
+const ZONES = ['bergen-a', 'bergen-b', 'bergen-c'];
+const MACHINES = Number(process.env.MACHINES ?? 2);
 const STREAMS = 12;
 
 /** Streams that the rule allows to hold events of two versions. */
@@ -35,15 +37,14 @@
   store.put('op', 'config', configuration({ routes: [streamingRoute(ROUTE)] }));
   const addWorkers = (version) =>
     Promise.all(
-      ['bergen-a', 'bergen-b', 'bergen-c'].map((zone) =>
+      ZONES.map((zone) =>
         new Worker({ store, service: 'pool', zone, version, deployment, ...TIMES }).start(),
       ),
     );
   const older = await addWorkers('v1');
-  const machines = [
-    await deployment.machine('front-1', '127.0.0.1', 'bergen-a', store, SITE),
-    await deployment.machine('front-2', '127.0.0.2', 'bergen-b', store, SITE),
-  ];
+  const machines = [];
+  for (let index = 0; index < MACHINES; index += 1)
+    machines.push(await deployment.machine(`front-${index + 1}`, `127.0.0.${index + 1}`, ZONES[index], store, SITE));
   machines.forEach((machine) => machine.start());
   await Promise.all(machines.map((machine) => machine.waitUntilReady()));
   await sleep(3000);
--- a/review/9/run.mjs
+++ b/review/9/run.mjs
@@ -1,6 +1,6 @@
 /**
  * The workers get a newer version of their software. Some time after the last of the older ones has left,
- * a machine loses power, and clients take up its streams at the other one.
+ * a machine loses power, and clients take up its streams at the others.
  */
 import { setTimeout as sleep } from 'node:timers/promises';
 import { attempt, newId } from '../shared-2/client.mjs';
@@ -21,6 +21,9 @@
 
 const ZONES = ['birmingham', 'nottingham', 'leicester'];
 
+/** Zones of the machines, as on the site. */
+const MACHINE_ZONES = ['birmingham', 'birmingham', 'nottingham', 'leicester', 'coventry'];
+
 await runCase(import.meta.dirname, async (deployment, hasTrouble) => {
   const store = new Store();
   await store.start();
@@ -32,11 +35,10 @@
       ),
     );
   const older = await addWorkers('v1');
-  const machines = [
-    await deployment.machine('front-1', '127.0.0.1', ZONES[0], store),
-    await deployment.machine('front-2', '127.0.0.2', ZONES[1], store),
-  ];
-  const [first, second] = machines;
+  const machines = [];
+  for (const [index, zone] of MACHINE_ZONES.entries())
+    machines.push(await deployment.machine(`front-${index + 1}`, `127.0.0.${index + 1}`, zone, store));
+  const [first, ...others] = machines;
   machines.forEach((machine) => machine.start());
   await Promise.all(machines.map((machine) => machine.waitUntilReady()));
   await sleep(3000);
@@ -61,7 +63,7 @@
     return attempt(machine.front, { host: HOST, path: '/summary/1', headers, body: 'prompt', deadlineMs, onEvent });
   };
   const counts = { takenUp: 0, wentOn: 0, begun: 0, asked: 0 };
-  const clients = Array.from({ length: STREAMS }, async () => {
+  const clients = Array.from({ length: STREAMS }, async (_, index) => {
     const startedAt = performance.now();
     const leftMs = () => DEADLINE_MS - (performance.now() - startedAt);
     const id = newId();
@@ -71,10 +73,10 @@
     };
     const { status, isComplete } = await send(first, id, {}, leftMs(), onEvent);
     if (status === 200 && isComplete) return;
-    // The client takes the stream up at the machine that is left, and comes back once as it is told.
+    // The client takes the stream up at another machine, and comes back once as it is told.
     for (let retry = 0; retry < 2 && leftMs() > 500; retry += 1) {
       const from = last;
-      const result = await send(second, newId(), { Resumes: id, 'Last-Event-Id': String(from) }, leftMs(), onEvent);
+      const result = await send(others[(index + retry) % others.length], newId(), { Resumes: id, 'Last-Event-Id': String(from) }, leftMs(), onEvent);
       const goesOn = result.status === 200 && last > from;
       counts.takenUp += 1;
       counts.wentOn += goesOn ? 1 : 0;
@@ -88,8 +90,8 @@
   });
   await sleep(STREAMING_MS);
   if (hasTrouble) first.signal('SIGKILL');
-  const fresh = Array.from({ length: STREAMS }, async () => {
-    const { status, events } = await send(second, newId(), {}, DEADLINE_MS);
+  const fresh = Array.from({ length: STREAMS }, async (_, index) => {
+    const { status, events } = await send(others[index % others.length], newId(), {}, DEADLINE_MS);
     counts.asked += 1;
     counts.begun += status === 200 && events.length > 0 ? 1 : 0;
   });
