--- a/review/10/run.mjs
+++ b/review/10/run.mjs
@@ -36,9 +36,20 @@
   const crashes = [];
   const workers = [];
   for (let index = 0; index < WORKERS; index += 1) {
-    const worker = new Worker({ store, service: 'pool', zone: ZONES[index % 4], deployment, isStreaming: true, gapMs: 100, events: 8 });
+    const worker = new Worker({
+      store,
+      service: 'pool',
+      zone: ZONES[index % 4],
+      deployment,
+      isStreaming: true,
+      gapMs: 100,
+      events: 8,
+    });
     const isDeadly = ({ headers }) =>
-      headers['citronstage-prompt-prefix'].split(',').slice(0, -1).some((part) => part.startsWith(`${deadlyPart}:`));
+      headers['citronstage-prompt-prefix']
+        .split(',')
+        .slice(0, -1)
+        .some((part) => part.startsWith(`${deadlyPart}:`));
     worker.isDeadly = isDeadly;
     worker.crashesOn = (request) => hasTrouble && isDeadly(request);
     worker.onCrash = () => {
@@ -77,7 +88,11 @@
     const all = [];
     for (let index = 0; !isOver; index += 1) {
       counts.sound += 1;
-      all.push(send(index, sharedParts).then(({ status, isComplete }) => { counts.whole += status === 200 && isComplete ? 1 : 0; }));
+      all.push(
+        send(index, sharedParts).then(({ status, isComplete }) => {
+          counts.whole += status === 200 && isComplete ? 1 : 0;
+        }),
+      );
       await sleep(SOUND_GAP_MS);
     }
     await Promise.all(all);
@@ -89,11 +104,17 @@
     const session = [sharedParts[0], ...Array.from({ length: SESSION_PARTS }, partId)];
     deadly.push(
       send(index, [...session, deadlyPart]).then(({ status }) =>
-        deployment.note(`request ${index + 1} with the part: ${status}; ${crashes.length} crashes so far`),
+        deployment.note(
+          `request ${index + 1} with the part: ${status}; ${crashes.length} crashes so far`,
+        ),
       ),
     );
     await sleep(NEXT_MS);
-    deadly.push(send(index, session).then(({ status, isComplete }) => { next.whole += status === 200 && isComplete ? 1 : 0; }));
+    deadly.push(
+      send(index, session).then(({ status, isComplete }) => {
+        next.whole += status === 200 && isComplete ? 1 : 0;
+      }),
+    );
     await sleep(DEADLY_GAP_MS - NEXT_MS);
   }
   await Promise.all(deadly);
@@ -101,11 +122,17 @@
   await sound;
   store.stop();
   deployment.note(`${DEADLY} sound requests of the same sessions, ${next.whole} answered whole`);
-  deployment.note(`${counts.sound} sound requests, ${counts.whole} answered whole; ${crashes.length} crashes`);
+  deployment.note(
+    `${counts.sound} sound requests, ${counts.whole} answered whole; ${crashes.length} crashes`,
+  );
   const countedFrom = (crashes[COUNTED_AFTER - 1] ?? Infinity) + CONTACT_MS;
   const late = workers
     .flatMap(({ runs }) => runs)
     .filter(({ at, headers }) => at > countedFrom && workers[0].isDeadly({ headers }));
-  deployment.note(`${late.length} requests with the part reached workers later than ${CONTACT_MS} ms after the fifth crash; the rule allows ${ALLOWED}`);
-  return late.length > ALLOWED ? `${late.length} requests with the part reached workers` : undefined;
+  deployment.note(
+    `${late.length} requests with the part reached workers later than ${CONTACT_MS} ms after the fifth crash; the rule allows ${ALLOWED}`,
+  );
+  return late.length > ALLOWED
+    ? `${late.length} requests with the part reached workers`
+    : undefined;
 });
--- a/review/6/run.mjs
+++ b/review/6/run.mjs
@@ -12,8 +12,14 @@
 /** Figures of `stock-note` and of the machines of the site. */
 const DEADLINE_MS = 15_064;
 const ROUTE = {
-  name: 'stock-note', prefix: '/stock-note/', timeout_ms: 15_000, target_latency_ms: 1506, priority: 2,
-  attempts: 2, resumable: true, max_gap_ms: 400,
+  name: 'stock-note',
+  prefix: '/stock-note/',
+  timeout_ms: 15_000,
+  target_latency_ms: 1506,
+  priority: 2,
+  attempts: 2,
+  resumable: true,
+  max_gap_ms: 400,
 };
 const TIMES = { gapMs: 220, events: 56, isStreaming: true, slots: 64 };
 const SITE = {
@@ -44,7 +50,15 @@
   const older = await addWorkers('v1');
   const machines = [];
   for (let index = 0; index < MACHINES; index += 1)
-    machines.push(await deployment.machine(`front-${index + 1}`, `127.0.0.${index + 1}`, ZONES[index], store, SITE));
+    machines.push(
+      await deployment.machine(
+        `front-${index + 1}`,
+        `127.0.0.${index + 1}`,
+        ZONES[index],
+        store,
+        SITE,
+      ),
+    );
   machines.forEach((machine) => machine.start());
   await Promise.all(machines.map((machine) => machine.waitUntilReady()));
   await sleep(3000);
@@ -52,7 +66,11 @@
   const startedAt = performance.now();
   const leftMs = () => DEADLINE_MS - (performance.now() - startedAt);
   const streams = Array.from({ length: STREAMS }, (_, index) => ({
-    index, id: newId(), versions: new Set(), last: 0, isWhole: false,
+    index,
+    id: newId(),
+    versions: new Set(),
+    last: 0,
+    isWhole: false,
   }));
   const send = async (stream, machine, id, extra = {}) => {
     const headers = {
@@ -68,27 +86,42 @@
       stream.versions.add(data.split(' ')[1]);
     };
     const path = `/stock-note/${stream.index}`;
-    const result = await attempt(machine.front, { host: HOST, path, headers, body: 'prompt', deadlineMs: leftMs(), onEvent });
+    const result = await attempt(machine.front, {
+      host: HOST,
+      path,
+      headers,
+      body: 'prompt',
+      deadlineMs: leftMs(),
+      onEvent,
+    });
     stream.isWhole = result.status === 200 && result.isComplete;
     return result;
   };
   /** Machine to which the platform forwards a new connection; waits while none is in rotation. */
   const machineInRotation = async () => {
     while (leftMs() > 1000) {
-      for (const machine of machines) if (machine.isRunning && (await machine.isReady())) return machine;
+      for (const machine of machines)
+        if (machine.isRunning && (await machine.isReady())) return machine;
       await sleep(200);
     }
     return undefined;
   };
   const client = async (stream) => {
     const first = await send(stream, machines[stream.index % machines.length], stream.id);
-    deployment.note(`stream ${stream.id}: ${first.status}, ${stream.last} events, ${stream.isWhole ? 'whole' : 'broken off'}`);
+    deployment.note(
+      `stream ${stream.id}: ${first.status}, ${stream.last} events, ${stream.isWhole ? 'whole' : 'broken off'}`,
+    );
     for (let retry = 0; retry < 3 && !stream.isWhole; retry += 1) {
       const machine = await machineInRotation();
       if (!machine) return;
       const from = stream.last;
-      const result = await send(stream, machine, newId(), { Resumes: stream.id, 'Last-Event-Id': String(from) });
-      deployment.note(`stream ${stream.id} taken up after event ${from} at ${machine.name}: ${result.status}, ${stream.last} events, ${stream.isWhole ? 'whole' : 'not whole'}`);
+      const result = await send(stream, machine, newId(), {
+        Resumes: stream.id,
+        'Last-Event-Id': String(from),
+      });
+      deployment.note(
+        `stream ${stream.id} taken up after event ${from} at ${machine.name}: ${result.status}, ${stream.last} events, ${stream.isWhole ? 'whole' : 'not whole'}`,
+      );
       const retryAfterMs = Number(result.headers['retry-after'] ?? 0.5) * 1000;
       if (!stream.isWhole) await sleep(Math.max(0, Math.min(retryAfterMs, leftMs() / 3)));
     }
@@ -110,7 +143,13 @@
   await clients;
   store.stop();
   const joined = streams.filter(({ versions }) => versions.size > 1);
-  joined.forEach(({ id, versions }) => deployment.note(`stream ${id} holds events of ${[...versions].join(' and ')}`));
-  deployment.note(`${joined.length} of ${STREAMS} streams hold events of two versions; the rule allows ${ALLOWED}`);
-  return joined.length > ALLOWED ? `${joined.length} streams with events of two software versions` : undefined;
+  joined.forEach(({ id, versions }) =>
+    deployment.note(`stream ${id} holds events of ${[...versions].join(' and ')}`),
+  );
+  deployment.note(
+    `${joined.length} of ${STREAMS} streams hold events of two versions; the rule allows ${ALLOWED}`,
+  );
+  return joined.length > ALLOWED
+    ? `${joined.length} streams with events of two software versions`
+    : undefined;
 });
--- a/review/9/run.mjs
+++ b/review/9/run.mjs
@@ -27,17 +27,32 @@
 await runCase(import.meta.dirname, async (deployment, hasTrouble) => {
   const store = new Store();
   await store.start();
-  store.put('op', 'config', configuration({ routes: [streamingRoute({ attempts: 2, resumable: true })] }));
+  store.put(
+    'op',
+    'config',
+    configuration({ routes: [streamingRoute({ attempts: 2, resumable: true })] }),
+  );
   const addWorkers = (version) =>
     Promise.all(
       ZONES.map((zone) =>
-        new Worker({ store, service: 'pool', zone, version, deployment, isStreaming: true, gapMs: 130, events: 25 }).start(),
+        new Worker({
+          store,
+          service: 'pool',
+          zone,
+          version,
+          deployment,
+          isStreaming: true,
+          gapMs: 130,
+          events: 25,
+        }).start(),
       ),
     );
   const older = await addWorkers('v1');
   const machines = [];
   for (const [index, zone] of MACHINE_ZONES.entries())
-    machines.push(await deployment.machine(`front-${index + 1}`, `127.0.0.${index + 1}`, zone, store));
+    machines.push(
+      await deployment.machine(`front-${index + 1}`, `127.0.0.${index + 1}`, zone, store),
+    );
   const [first, ...others] = machines;
   machines.forEach((machine) => machine.start());
   await Promise.all(machines.map((machine) => machine.waitUntilReady()));
@@ -60,7 +75,14 @@
       'Citronstage-Prompt-Prefix': `${newId()}:341,${newId()}:227,${newId()}:1800`,
       ...extra,
     };
-    return attempt(machine.front, { host: HOST, path: '/summary/1', headers, body: 'prompt', deadlineMs, onEvent });
+    return attempt(machine.front, {
+      host: HOST,
+      path: '/summary/1',
+      headers,
+      body: 'prompt',
+      deadlineMs,
+      onEvent,
+    });
   };
   const counts = { takenUp: 0, wentOn: 0, begun: 0, asked: 0 };
   const clients = Array.from({ length: STREAMS }, async (_, index) => {
@@ -76,7 +98,13 @@
     // The client takes the stream up at another machine, and comes back once as it is told.
     for (let retry = 0; retry < 2 && leftMs() > 500; retry += 1) {
       const from = last;
-      const result = await send(others[(index + retry) % others.length], newId(), { Resumes: id, 'Last-Event-Id': String(from) }, leftMs(), onEvent);
+      const result = await send(
+        others[(index + retry) % others.length],
+        newId(),
+        { Resumes: id, 'Last-Event-Id': String(from) },
+        leftMs(),
+        onEvent,
+      );
       const goesOn = result.status === 200 && last > from;
       counts.takenUp += 1;
       counts.wentOn += goesOn ? 1 : 0;
@@ -85,7 +113,9 @@
           (goesOn ? `goes on to event ${last}` : `does not go on: ${result.text.trim()}`),
       );
       if (goesOn) return;
-      await sleep(Math.max(0, Math.min(Number(result.headers['retry-after'] ?? 0.5) * 1000, leftMs() / 3)));
+      await sleep(
+        Math.max(0, Math.min(Number(result.headers['retry-after'] ?? 0.5) * 1000, leftMs() / 3)),
+      );
     }
   });
   await sleep(STREAMING_MS);
@@ -97,9 +127,13 @@
   });
   await Promise.all([...clients, ...fresh]);
   store.stop();
-  deployment.note(`${counts.takenUp} take-ups, ${counts.wentOn} went on; ${counts.asked} new streams, ${counts.begun} began`);
+  deployment.note(
+    `${counts.takenUp} take-ups, ${counts.wentOn} went on; ${counts.asked} new streams, ${counts.begun} began`,
+  );
   if (counts.takenUp === 0) return undefined;
   if (counts.takenUp < MIN_TAKE_UPS) throw new Error('too few streams were taken up');
   const isUnderHalf = counts.wentOn / counts.takenUp < counts.begun / counts.asked / 2;
-  return isUnderHalf ? 'the share of the streams that go on is under half of that of new streams' : undefined;
+  return isUnderHalf
+    ? 'the share of the streams that go on is under half of that of new streams'
+    : undefined;
 });
--- a/review/shared-2/client.mjs
+++ b/review/shared-2/client.mjs
@@ -8,7 +8,10 @@
  * Sends one attempt.
  * @returns status (0 without one), body, events, and whether the response is complete
  */
-export function attempt(address, { method = 'POST', host, path, headers = {}, body, agent = false, deadlineMs, onEvent }) {
+export function attempt(
+  address,
+  { method = 'POST', host, path, headers = {}, body, agent = false, deadlineMs, onEvent },
+) {
   const [ip, port] = address.split(':');
   return new Promise((resolve) => {
     const result = { status: 0, headers: {}, text: '', events: [], isComplete: false };
@@ -16,7 +19,14 @@
       clearTimeout(timer);
       resolve(result);
     };
-    const call = request({ host: ip, port, method, path, agent, headers: { Host: host, 'Citronstage-Deadline-Ms': String(deadlineMs), ...headers } });
+    const call = request({
+      host: ip,
+      port,
+      method,
+      path,
+      agent,
+      headers: { Host: host, 'Citronstage-Deadline-Ms': String(deadlineMs), ...headers },
+    });
     const timer = setTimeout(() => call.destroy(), deadlineMs);
     call.on('response', (response) => {
       Object.assign(result, { status: response.statusCode, headers: response.headers });
--- a/review/shared-2/deployment.mjs
+++ b/review/shared-2/deployment.mjs
@@ -1,7 +1,16 @@
 /** Starts the program with the command of the deploy file, and settings from its template. */
 import { spawn } from 'node:child_process';
 import { once } from 'node:events';
-import { mkdtempSync, readFileSync, rmSync, writeFileSync, appendFileSync, openSync, closeSync, readdirSync } from 'node:fs';
+import {
+  mkdtempSync,
+  readFileSync,
+  rmSync,
+  writeFileSync,
+  appendFileSync,
+  openSync,
+  closeSync,
+  readdirSync,
+} from 'node:fs';
 import { createServer } from 'node:net';
 import { tmpdir } from 'node:os';
 import { join, resolve } from 'node:path';
@@ -12,7 +21,14 @@
 
 /** Bounds and limits of a small site. */
 const FIELDS = {
-  limits: { cpu_share: 0.513, cores: 1, memory_mb: 350, max_fds: 4100, link_mbps: 1000, disk_mb: 0 },
+  limits: {
+    cpu_share: 0.513,
+    cores: 1,
+    memory_mb: 350,
+    max_fds: 4100,
+    link_mbps: 1000,
+    disk_mb: 0,
+  },
   heartbeat_ms: 1200,
   bounds: { drain_ms: 2000, grace_s: 8, budget_ratio: 0.2, budget_slack: 58, budget_window_s: 10 },
 };
@@ -86,7 +102,9 @@
   }
 
   async end() {
-    const running = [...this.started].filter((child) => child.exitCode === null && child.signalCode === null);
+    const running = [...this.started].filter(
+      (child) => child.exitCode === null && child.signalCode === null,
+    );
     running.forEach((child) => child.kill('SIGCONT'));
     running.forEach((child) => child.kill('SIGKILL'));
     await Promise.all(running.map((child) => once(child, 'exit')));
@@ -127,7 +145,9 @@
   }
 
   get isRunning() {
-    return this.child !== undefined && this.child.exitCode === null && this.child.signalCode === null;
+    return (
+      this.child !== undefined && this.child.exitCode === null && this.child.signalCode === null
+    );
   }
 
   signal(name) {
@@ -139,10 +159,13 @@
   isReady() {
     const [host, port] = this.ready.split(':');
     return new Promise((resolveStatus) => {
-      const call = request({ host, port, path: '/ready', timeout: 1000, agent: false }, (response) => {
-        response.resume();
-        resolveStatus(response.statusCode === 200);
-      });
+      const call = request(
+        { host, port, path: '/ready', timeout: 1000, agent: false },
+        (response) => {
+          response.resume();
+          resolveStatus(response.statusCode === 200);
+        },
+      );
       call.on('timeout', () => call.destroy());
       call.on('error', () => resolveStatus(false));
       call.end();
@@ -164,7 +187,8 @@
   memoryMb() {
     try {
       const status = readFileSync(`/proc/${this.child.pid}/status`, 'utf8');
-      const of = (field) => Math.round(Number(new RegExp(`^${field}:\\s+(\\d+)`, 'm').exec(status)?.[1]) / 1000);
+      const of = (field) =>
+        Math.round(Number(new RegExp(`^${field}:\\s+(\\d+)`, 'm').exec(status)?.[1]) / 1000);
       return { now: of('VmRSS'), peak: of('VmHWM') };
     } catch {
       return { now: NaN, peak: NaN };
@@ -207,6 +231,8 @@
   }
   await deployment.end();
   clearTimeout(limit);
-  process.stdout.write(readFileSync(deployment.recordFile, 'utf8').split('\n').slice(-12).join('\n'));
+  process.stdout.write(
+    readFileSync(deployment.recordFile, 'utf8').split('\n').slice(-12).join('\n'),
+  );
   process.exit(status);
 }
--- a/review/shared-2/store.mjs
+++ b/review/shared-2/store.mjs
@@ -38,7 +38,10 @@
 
   /** Writes a row as the operator or a worker does. */
   put(table, key, value) {
-    this.commit([{ table, part: '', key, value: Buffer.from(JSON.stringify(value)).toString('base64') }], []);
+    this.commit(
+      [{ table, part: '', key, value: Buffer.from(JSON.stringify(value)).toString('base64') }],
+      [],
+    );
   }
 
   remove(table, key) {
@@ -54,11 +57,23 @@
   commit(puts, removals) {
     this.version += 1;
     puts.forEach(({ table, part = '', key, value }) =>
-      this.rows.set(keyOf({ table, part, key }), { table, part, key, value, row_version: this.version }),
+      this.rows.set(keyOf({ table, part, key }), {
+        table,
+        part,
+        key,
+        value,
+        row_version: this.version,
+      }),
     );
     removals.forEach(({ table, part = '', key }) => {
       if (this.rows.has(keyOf({ table, part, key })))
-        this.rows.set(keyOf({ table, part, key }), { table, part, key, removed: true, row_version: this.version });
+        this.rows.set(keyOf({ table, part, key }), {
+          table,
+          part,
+          key,
+          removed: true,
+          row_version: this.version,
+        });
     });
     [...this.waiters].forEach((wake) => wake());
   }
@@ -75,12 +90,18 @@
     } else if (url.pathname === '/rows-feed') await this.feed(query, response);
     else if (url.pathname === '/rows-tx') {
       await sleep(WRITE_MS);
-      const { precondition = [], put = [], remove = [] } = JSON.parse(Buffer.concat(chunks).toString());
+      const {
+        precondition = [],
+        put = [],
+        remove = [],
+      } = JSON.parse(Buffer.concat(chunks).toString());
       const current = precondition.map((row) => this.rows.get(keyOf(row)));
       const holds = precondition.every(
-        ({ row_version: wanted }, index) => (current[index]?.removed ? 0 : (current[index]?.row_version ?? 0)) === wanted,
+        ({ row_version: wanted }, index) =>
+          (current[index]?.removed ? 0 : (current[index]?.row_version ?? 0)) === wanted,
       );
-      if (!holds) this.answer(response, 412, { rows: current.filter((row) => row && !row.removed) });
+      if (!holds)
+        this.answer(response, 412, { rows: current.filter((row) => row && !row.removed) });
       else {
         this.commit(put, remove);
         this.answer(response, 200, {});
@@ -112,7 +133,12 @@
         .sort((left, right) => left.row_version - right.row_version);
     const endsAt = performance.now() + Number(query.get('wait_ms'));
     response.once('close', () => [...this.waiters].forEach((wake) => wake()));
-    while (changed().length === 0 && performance.now() < endsAt && !response.destroyed && !this.isBusy) {
+    while (
+      changed().length === 0 &&
+      performance.now() < endsAt &&
+      !response.destroyed &&
+      !this.isBusy
+    ) {
       await new Promise((resolve) => {
         const wake = () => {
           clearTimeout(timer);
@@ -132,6 +158,8 @@
     if (response.destroyed) return;
     response.setHeader('Store-Era', String(this.era));
     response.writeHead(status, { 'Content-Type': 'application/json' });
-    response.end(JSON.stringify({ ...body, row_version: this.version, now_ms: Math.round(performance.now()) }));
+    response.end(
+      JSON.stringify({ ...body, row_version: this.version, now_ms: Math.round(performance.now()) }),
+    );
   }
 }
--- a/review/shared-2/worker.mjs
+++ b/review/shared-2/worker.mjs
@@ -42,9 +42,12 @@
   }
 
   async listen() {
-    this.server = createServer({ maxHeaderSize: 64 * 1024, keepAliveTimeout: 5000 }, (request, response) => {
-      this.handle(request, response).catch(() => response.destroy());
-    });
+    this.server = createServer(
+      { maxHeaderSize: 64 * 1024, keepAliveTimeout: 5000 },
+      (request, response) => {
+        this.handle(request, response).catch(() => response.destroy());
+      },
+    );
     this.server.listen(Number(this.address?.split(':')[1] ?? 0), '127.0.0.1');
     await once(this.server, 'listening');
     this.address = `127.0.0.1:${this.server.address().port}`;
@@ -56,7 +59,15 @@
     this.sequence += 1;
     const { service, address, zone, version, slots, sequence, born } = this;
     this.store.put('servers', this.id, {
-      service, addr: address, zone, version, slots, state, cold_left_ms: 0, sequence, born,
+      service,
+      addr: address,
+      zone,
+      version,
+      slots,
+      state,
+      cold_left_ms: 0,
+      sequence,
+      born,
     });
     this.deployment.note(`worker ${this.id} (${service} ${version}) registers as ${state}`);
   }
@@ -112,18 +123,31 @@
     const made = items.map(() => ({ handle: `${this.address}/${hex(6)}` }));
     made.forEach(({ handle }) => this.handles.add(handle));
     const text = JSON.stringify({ items: made });
-    response.writeHead(200, { 'Content-Type': 'application/json', 'Citronstage-Server-Load': '1,0,1' }).end(text);
+    response
+      .writeHead(200, { 'Content-Type': 'application/json', 'Citronstage-Server-Load': '1,0,1' })
+      .end(text);
   }
 
   async run(request, body, response) {
     const id = request.headers['citronstage-attempt-id'];
-    const headers = { 'Citronstage-Attempt-Id': id, 'Citronstage-Response-Seal': `${this.id}.${hex(4)}` };
+    const headers = {
+      'Citronstage-Attempt-Id': id,
+      'Citronstage-Response-Seal': `${this.id}.${hex(4)}`,
+    };
     if (id === undefined || this.running >= this.slots) {
-      response.writeHead(id === undefined ? 400 : 503, { ...headers, 'Citronstage-Not-Executed': '1' }).end();
+      response
+        .writeHead(id === undefined ? 400 : 503, { ...headers, 'Citronstage-Not-Executed': '1' })
+        .end();
       return;
     }
     this.running += 1;
-    this.runs.push({ id, at: performance.now(), url: request.url, headers: request.headers, body: body.length });
+    this.runs.push({
+      id,
+      at: performance.now(),
+      url: request.url,
+      headers: request.headers,
+      body: body.length,
+    });
     try {
       if (this.isStreaming) await this.stream(request, response, headers);
       else {
@@ -139,7 +163,11 @@
     const after = Number(request.headers['last-event-id'] ?? 0);
     await sleep(this.firstMs ?? this.gapMs);
     if (response.destroyed) return;
-    response.writeHead(200, { ...headers, 'Content-Type': 'text/event-stream', 'Citronstage-Weight-Versions': '1' });
+    response.writeHead(200, {
+      ...headers,
+      'Content-Type': 'text/event-stream',
+      'Citronstage-Weight-Versions': '1',
+    });
     if (this.crashesOn?.(request)) {
       response.write('id: 1\nda');
       await sleep(5);
