--- a/review/6/run.mjs
+++ b/review/6/run.mjs
@@ -37,7 +37,11 @@
 /** Time until the platform starts an ended process again. */
 const RESTART_MS = 500;
 
-await runCase(import.meta.dirname, async (deployment, hasTrouble) => {
+/** False if the case runs without its disruption. */
+const hasTrouble = process.env.TROUBLE !== '0';
+
+await runCase(import.meta.dirname, async (deployment) => {
+  deployment.note(`case starts, ${hasTrouble ? 'with' : 'without'} the disruption`);
   const store = new Store();
   await store.start();
   store.put('op', 'config', configuration({ routes: [streamingRoute(ROUTE)] }));
