--- a/review/9/run.mjs
+++ b/review/9/run.mjs
@@ -24,7 +24,11 @@
 /** Zones of the machines, as on the site. */
 const MACHINE_ZONES = ['birmingham', 'birmingham', 'nottingham', 'leicester', 'coventry'];
 
-await runCase(import.meta.dirname, async (deployment, hasTrouble) => {
+/** False if the case runs without its disruption. */
+const hasTrouble = process.env.TROUBLE !== '0';
+
+await runCase(import.meta.dirname, async (deployment) => {
+  deployment.note(`case starts, ${hasTrouble ? 'with' : 'without'} the disruption`);
   const store = new Store();
   await store.start();
   store.put(
