--- a/review/10/run.mjs
+++ b/review/10/run.mjs
@@ -27,7 +27,11 @@
 
 const partId = () => newId().slice(0, 8);
 
-await runCase(import.meta.dirname, async (deployment, hasTrouble) => {
+/** False if the case runs without its disruption. */
+const hasTrouble = process.env.TROUBLE !== '0';
+
+await runCase(import.meta.dirname, async (deployment) => {
+  deployment.note(`case starts, ${hasTrouble ? 'with' : 'without'} the disruption`);
   const store = new Store();
   await store.start();
   store.put('op', 'config', configuration({ routes: [streamingRoute()] }));
