--- a/review/shared-2/deployment.mjs
+++ b/review/shared-2/deployment.mjs
@@ -215,15 +215,13 @@
  */
 export async function runCase(caseFolder, body) {
   const deployment = new Deployment(caseFolder);
-  const hasTrouble = process.env.TROUBLE !== '0';
   let status = 2;
   const limit = setTimeout(() => {
     deployment.note('the case took too long');
     deployment.end().finally(() => process.exit(2));
   }, 115_000);
   try {
-    deployment.note(`case starts, ${hasTrouble ? 'with' : 'without'} the disruption`);
-    const broken = await body(deployment, hasTrouble);
+    const broken = await body(deployment);
     deployment.note(broken === undefined ? 'the rule held' : `the rule was broken: ${broken}`);
     status = broken === undefined ? 0 : 1;
   } catch (error) {
