Streams: record each one with its first event, at every time

After a release no stream survived its process for a while: from 12 to 24 s after the last server of the older version had left, all take-ups at other processes were refused with 503.

Cause: a process recorded streams only while it remembered several versions itself, for one lifetime of a stream. Its peers believed in a single version only if nobody had told another one for a further lifetime. In between nothing was recorded and nothing was believed.

Each stream is now recorded with its first event. Heartbeats carry the newest ones; three processes, chosen by hash, store those of all, so that the calls to the store do not grow with the fleet. A record never replaces another one: it used to be made when the request was sent, and that of a server which ended before the first event could win after a loss of power.

--- a/src/serving/RequestRunner.ts
+++ b/src/serving/RequestRunner.ts
@@ -281,7 +281,6 @@
     const { tokens: reportedTokens } = this.services.peerView.engineLoad(server.id);
     const recordFirstEvent = placement.measureFirstEvent(server, tokens, reportedTokens);
     if (promptParts.length > 0) placement.recordParts(server.id, promptParts);
-    this.services.streamVersions.recordSend(request, server);
     records.begin(server.id, tokens);
     const markPrefilled = once(() => records.markPrefilled(server.id, tokens));
     const options: ForwardOptions = {
@@ -290,6 +289,7 @@
       onEvents: (count) => {
         if (responseProgress.events === 0) {
           request.trace.recordStep('first-event', clock.now());
+          this.services.streamVersions.recordFirstEvent(request, server);
           if (promptParts.length > 0) recordFirstEvent();
         }
         responseProgress.recordEvents(count);
--- a/src/serving/ServerObservations.ts
+++ b/src/serving/ServerObservations.ts
@@ -165,9 +165,7 @@
       evacuations: this.evacuations.report,
       streams: {
         versions: this.serviceVersions.own,
-        begun: this.serviceVersions.hasSeveral
-          ? this.streamOrigins.ownGroups(ANNOUNCED_STREAM_AGE_MS, MAX_ANNOUNCED_STREAMS)
-          : [],
+        begun: this.streamOrigins.ownGroups(ANNOUNCED_STREAM_AGE_MS, MAX_ANNOUNCED_STREAMS),
       },
     };
   }
--- a/src/serving/ServingProcess.ts
+++ b/src/serving/ServingProcess.ts
@@ -111,6 +111,8 @@
       routeTable: () => this.configuration.routeTable,
     });
     this.configuration = new ConfigurationView(clock, options.decoder, logger);
+    const streamLifetimeMs = () =>
+      this.configuration.routeTable?.streamLifetimeMs ?? MIN_STREAM_LIFETIME_MS;
     this.observations = new ServerObservations({
       clock,
       logger,
@@ -120,8 +122,7 @@
       limitShareOf: (server, requestsPerS) => shares.limitShareOf(server, requestsPerS),
       cold: shares.coldServices,
       announce: () => this.peerServer.announce(),
-      streamLifetimeMs: () =>
-        this.configuration.routeTable?.streamLifetimeMs ?? MIN_STREAM_LIFETIME_MS,
+      streamLifetimeMs,
     });
     const { statements, evacuations } = this.observations;
     const { departures } = statements;
@@ -196,9 +197,11 @@
       feed: this.followers.openFeed(),
       table: options.names.streamTable,
       ownId: settings.id,
-      processCount,
+      lifetimeMs: streamLifetimeMs,
       observations: this.observations,
       storeEra: this.storeEra,
+      peerView: this.peerView,
+      isLeaving: () => this.isStopping,
     });
     const servingMetrics = new ServingMetrics(metrics);
     const runner = createRequestRunner({
--- a/src/serving/StreamOriginTable.ts
+++ b/src/serving/StreamOriginTable.ts
@@ -1,20 +1,20 @@
 import { z } from 'zod';
 import { parseJson } from '../common/json/BoundedJson.js';
 import { StreamGroup, type StreamOrigins } from '../common/serving/StreamOrigins.js';
+import { StreamRecords } from '../common/serving/StreamRecords.js';
 import type { Clock } from '../common/time/Types.js';
 import type { FeedRow, RowFeed } from '../storage/RowFeed.js';
 import type { Logger } from '../telemetry/Logger.js';
 
-/** Rows of a process, which it writes in turn, and time for which streams are added to one, in ms. */
-const SLOTS = 64;
-const SLOT_MS = 1000;
+/** Time in which streams are collected before a write, in ms: those of a group begin together. */
+const WRITE_DELAY_MS = 60;
 
-/** Most streams in a row, so that it stays within the size that the store allows. */
-const MAX_ROW_STREAMS = 700;
+/** Interval at which the writes of a process are restored, in ms, and number that are saved up. */
+const WRITE_INTERVAL_MS = 2000;
+const MAX_SAVED_WRITES = 4;
 
-/** Interval of the writes of a process, in ms: a fixed one, and one for each process of the fleet. */
-const MIN_WRITE_INTERVAL_MS = 60;
-const WRITE_INTERVAL_PER_PROCESS_MS = 20;
+/** Interval at which a process with unwritten streams checks whether it has to write, in ms. */
+const CHECK_INTERVAL_MS = 1000;
 
 /** Shortest time between the starts of two reads, in ms. */
 const READ_INTERVAL_MS = 100;
@@ -36,32 +36,31 @@
   /** Beginning of the keys of the rows of this process. */
   readonly ownId: string;
   readonly origins: StreamOrigins;
-  readonly processCount: () => number;
+  /** @returns longest time from the begin of a stream until it is taken up, in ms */
+  readonly lifetimeMs: () => number;
+  /** @returns whether this process stores the streams of all */
+  readonly isRecorder: () => boolean;
 }
 
 /**
- * Keeps in the store where streams began, so that it is known after all processes lost power. Streams
- * that begin at about the same time share a write. Each process writes a ring of rows, so the table
- * does not grow.
+ * Keeps in the store where streams began, so that it is known after all processes lost power, and to
+ * one that has started since. A few processes write the streams of all, and those that begin at about
+ * the same time share a write.
  */
 export class StreamOriginTable {
-  /** Streams in each slot that was filled in this life of the process. */
-  private readonly slots = new Map<number, string[]>();
+  private readonly records: StreamRecords;
 
-  /** Slots that have to be written. */
-  private readonly changed = new Set<number>();
-
-  private slot = -1;
+  private timer: NodeJS.Timeout | undefined;
 
-  private slotStartedAt = -Infinity;
+  private savedWrites = MAX_SAVED_WRITES;
 
-  private timer: NodeJS.Timeout | undefined;
+  private savedWritesAt: number;
 
   private isWriting = false;
 
   private isDisposed = false;
 
-  /** Whether the rows of earlier lives of this process were read, which the first writes must keep. */
+  /** Whether the rows of earlier lives of this process were read, which must stay for a while. */
   private hasLoaded = false;
 
   private loading: Promise<void> | undefined;
@@ -71,23 +70,20 @@
 
   private lastLoadAt = -Infinity;
 
-  constructor(private readonly services: StreamOriginTableServices) {}
-
-  /** Writes a stream soon. */
-  record(streamId: string): void {
-    const now = this.services.clock.now();
-    const streams = this.slots.get(this.slot);
-    const isFull = !streams || streams.length >= MAX_ROW_STREAMS;
-    if (isFull || now - this.slotStartedAt >= SLOT_MS) this.openSlot(now);
-    this.slots.get(this.slot)!.push(streamId);
-    this.changed.add(this.slot);
-    this.scheduleWrite();
+  constructor(private readonly services: StreamOriginTableServices) {
+    const { clock, origins, lifetimeMs } = services;
+    this.records = new StreamRecords(clock, origins, lifetimeMs);
+    this.savedWritesAt = clock.now();
+    origins.onHeard((id) => {
+      this.records.add(id);
+      this.scheduleWrite(WRITE_DELAY_MS);
+    });
   }
 
-  /** Writes all streams that are still in memory again, after the store has lost rows. */
+  /** Writes all streams that can still be taken up again, after the store has lost rows. */
   rewrite(): void {
-    this.slots.forEach((_, slot) => this.changed.add(slot));
-    if (this.changed.size > 0) this.scheduleWrite();
+    this.records.addAllAgain();
+    if (this.records.isDue) this.scheduleWrite(WRITE_DELAY_MS);
   }
 
   /**
@@ -108,47 +104,51 @@
     clearTimeout(this.timer);
   }
 
-  private openSlot(now: number): void {
-    this.slot = (this.slot + 1) % SLOTS;
-    this.slotStartedAt = now;
-    this.slots.set(this.slot, []);
-  }
-
-  private scheduleWrite(): void {
+  private scheduleWrite(delayMs: number): void {
     if (this.timer || this.isWriting || this.isDisposed) return;
-    const { processCount } = this.services;
-    const intervalMs = Math.max(
-      MIN_WRITE_INTERVAL_MS,
-      WRITE_INTERVAL_PER_PROCESS_MS * processCount(),
-    );
     this.timer = setTimeout(() => {
       this.timer = undefined;
-      this.write().catch((error: unknown) =>
+      this.writeIfChosen().catch((error: unknown) =>
         this.services.logger.error('writing streams failed', { error }),
       );
-    }, intervalMs);
+    }, delayMs);
+  }
+
+  private async writeIfChosen(): Promise<void> {
+    const mayWrite = this.services.isRecorder() && this.trySpendWrite();
+    if (mayWrite) {
+      this.isWriting = true;
+      await this.write();
+      this.isWriting = false;
+    }
+    if (this.records.isDue) this.scheduleWrite(CHECK_INTERVAL_MS);
+  }
+
+  private trySpendWrite(): boolean {
+    const now = this.services.clock.now();
+    const restored = (now - this.savedWritesAt) / WRITE_INTERVAL_MS;
+    this.savedWrites = Math.min(MAX_SAVED_WRITES, this.savedWrites + restored);
+    this.savedWritesAt = now;
+    if (this.savedWrites < 1) return false;
+    this.savedWrites -= 1;
+    return true;
   }
 
   private async write(): Promise<void> {
-    const { feed, table, ownId, origins, logger } = this.services;
-    this.isWriting = true;
+    const { feed, table, ownId, logger } = this.services;
     if (!this.hasLoaded) await this.load();
-    if (this.hasLoaded) {
-      for (const slot of [...this.changed]) {
-        this.changed.delete(slot);
-        const row = { streams: origins.groupsOf(this.slots.get(slot) ?? []) };
-        const value = Buffer.from(JSON.stringify(row));
-        const options = { timeoutMs: WRITE_TIMEOUT_MS };
-        const result = await feed.write(table, `${ownId}/${slot}`, value, options);
-        if (!result.ok) {
-          this.changed.add(slot);
-          logger.warn('streams not written', { error: result.error });
-          break;
-        }
+    if (!this.hasLoaded) return;
+    for (let row = this.records.takeDue(); row; row = this.records.takeDue()) {
+      const value = Buffer.from(JSON.stringify({ streams: row.streams }));
+      const options = { timeoutMs: WRITE_TIMEOUT_MS };
+      const result = await feed.write(table, `${ownId}/${row.slot}`, value, options);
+      if (!result.ok) {
+        this.records.recordFailure(row);
+        logger.warn('streams not written', { error: result.error });
+        return;
       }
+      if (this.isDisposed) return;
     }
-    this.isWriting = false;
-    if (this.changed.size > 0) this.scheduleWrite();
   }
 
   private startLoad(): Promise<void> {
@@ -172,33 +172,20 @@
       logger.warn('streams not read', { error: result.error });
       return;
     }
-    this.learn(result.value.rows);
+    this.restore(result.value.rows);
   }
 
-  private learn(rows: readonly FeedRow[]): void {
+  private restore(rows: readonly FeedRow[]): void {
     const { origins, ownId, logger } = this.services;
     rows.forEach(({ key, value }) => {
       if (!value) return;
       const row = parseRow(value);
-      if (row) origins.learn(row.streams);
+      if (row) origins.restore(row.streams);
       else logger.warn('invalid row of streams ignored', { key });
     });
     if (this.hasLoaded) return;
     this.hasLoaded = true;
-    this.moveSlots(newestSlot(rows, `${ownId}/`) + 1);
-  }
-
-  /** Moves the slots behind those of earlier lives, whose newest rows have to stay. */
-  private moveSlots(offset: number): void {
-    const moved = [...this.slots].map(
-      ([slot, streams]) => [(slot + offset) % SLOTS, streams] as const,
-    );
-    this.slots.clear();
-    moved.forEach(([slot, streams]) => this.slots.set(slot, streams));
-    const changed = [...this.changed].map((slot) => (slot + offset) % SLOTS);
-    this.changed.clear();
-    changed.forEach((slot) => this.changed.add(slot));
-    this.slot = (this.slot + offset) % SLOTS;
+    this.records.reserve(slotsOf(rows, `${ownId}/`));
   }
 }
 
@@ -211,15 +198,10 @@
   }
 }
 
-/** @returns slot of the row with the prefix that was written last; -1 if there is none */
-function newestSlot(rows: readonly FeedRow[], prefix: string): number {
-  let newest = -1;
-  let newestVersion = -1;
-  rows.forEach(({ key, version = 0 }) => {
-    const slot = Number(key.slice(prefix.length));
-    if (!key.startsWith(prefix) || !Number.isInteger(slot) || version <= newestVersion) return;
-    newest = slot;
-    newestVersion = version;
-  });
-  return newest;
+/** @returns slots of the rows whose keys begin with the prefix */
+function slotsOf(rows: readonly FeedRow[], prefix: string): number[] {
+  return rows
+    .filter(({ key }) => key.startsWith(prefix))
+    .map(({ key }) => Number(key.slice(prefix.length)))
+    .filter((slot) => Number.isInteger(slot) && slot >= 0);
 }
--- a/src/serving/StreamVersions.ts
+++ b/src/serving/StreamVersions.ts
@@ -25,7 +25,7 @@
   readonly directory: Pick<ServerDirectory, 'usable'>;
   readonly origins: StreamOrigins;
   readonly versions: ServiceVersions;
-  readonly table: Pick<StreamOriginTable, 'load' | 'record'>;
+  readonly table: Pick<StreamOriginTable, 'load'>;
   readonly metrics: Pick<ServingMetrics, 'recordRefusal'>;
 }
 
@@ -41,20 +41,13 @@
 export class StreamVersions {
   constructor(private readonly services: StreamVersionsServices) {}
 
-  /**
-   * Records at which version a stream begins or goes on. Called before the request is sent, so that the
-   * store usually knows it before the first event.
-   */
-  recordSend(request: CallerRequest, { service, version }: BackendServer): void {
-    if (!isResumable(request) || version === undefined) return;
-    const { attemptId, resumedAttemptId } = request.attributes;
-    const streamId = isTakeUp(request) ? resumedAttemptId : attemptId;
-    if (streamId === undefined) return;
-    const { origins, versions, table } = this.services;
-    const known = origins.find(streamId);
-    origins.begin(streamId, { service, version });
-    const isKnown = known?.service === service && known.version === version;
-    if (!isKnown && (versions.hasSeveral || hasSeveralTargets(request))) table.record(streamId);
+  /** Records that the first event of a request came from a server. */
+  recordFirstEvent(request: CallerRequest, { service, version }: BackendServer): void {
+    const { attemptId } = request.attributes;
+    // A stream that was taken up has its record already.
+    if (!isResumable(request) || isTakeUp(request)) return;
+    if (version === undefined || attemptId === undefined) return;
+    this.services.origins.begin(attemptId, { service, version });
   }
 
   /**
--- a/src/serving/createStreamTable.ts
+++ b/src/serving/createStreamTable.ts
@@ -1,30 +1,40 @@
+import { chooseStreamRecorders } from '../common/serving/StreamRecorders.js';
 import type { ServerObservations } from './ServerObservations.js';
 import type { StoreEra } from './StoreEra.js';
 import { StreamOriginTable, type StreamOriginTableServices } from './StreamOriginTable.js';
+import type { PeerView } from './peers/PeerView.js';
 
 /** Dependencies of {@link createStreamTable}. */
-export interface StreamTableParts extends Omit<StreamOriginTableServices, 'origins'> {
-  readonly observations: Pick<ServerObservations, 'serviceVersions' | 'streamOrigins'>;
+export interface StreamTableParts extends Omit<
+  StreamOriginTableServices,
+  'origins' | 'isRecorder'
+> {
+  readonly observations: Pick<ServerObservations, 'streamOrigins'>;
   readonly storeEra: StoreEra;
+  readonly peerView: Pick<PeerView, 'liveHeartbeats'>;
+  readonly isLeaving: () => boolean;
 }
 
 /**
- * Creates the table of the streams that began while a service had several versions. Streams that began
- * before the second version was known are written when it is.
+ * Creates the table of the streams that can be taken up.
  * @param parts - state of the process and its connection to the store
  * @returns the table
  */
 export function createStreamTable({
-  observations: { serviceVersions, streamOrigins },
+  observations,
   storeEra,
+  peerView,
+  isLeaving,
   ...parts
 }: StreamTableParts): StreamOriginTable {
-  const table = new StreamOriginTable({ ...parts, origins: streamOrigins });
-  let hadSeveral = false;
-  serviceVersions.onChanged(() => {
-    const { hasSeveral } = serviceVersions;
-    if (hasSeveral && !hadSeveral) streamOrigins.ownIds.forEach((id) => table.record(id));
-    hadSeveral = hasSeveral;
+  const { ownId } = parts;
+  const table = new StreamOriginTable({
+    ...parts,
+    origins: observations.streamOrigins,
+    isRecorder: () => {
+      const own = { id: ownId, isLeaving: isLeaving() };
+      return chooseStreamRecorders([own, ...peerView.liveHeartbeats()]).includes(ownId);
+    },
   });
   storeEra.onRaised(() => table.rewrite());
   return table;
--- a/src/serving/peers/PeerMessages.ts
+++ b/src/serving/peers/PeerMessages.ts
@@ -68,7 +68,7 @@
     .object({
       /** Versions at which streams that can still be taken up may have begun. */
       versions: VersionReport,
-      /** The newest streams, if there are several versions. */
+      /** The newest streams; older versions list some only if there are several versions. */
       begun: z.array(StreamGroup),
     })
     .optional(),
