Streams: go on only at the version of their record

After a planned stop of all processes, streams that had begun at v1 went on at v2: callers got complete answers joined from two versions.

Cause: a stream without a record was believed to have begun at the only version that was known. This came from member rows, which a planned stop removes, so that after the start only the newer version was known. The view may as well be half told or out of date.

The record of a stream alone now says where it goes on; a take-up without one is refused before anything is sent. Versions in member rows and heartbeats and the times for which they counted are gone. Since every stream is recorded, processes in touch know them.

--- a/src/serving/ServerObservations.ts
+++ b/src/serving/ServerObservations.ts
@@ -4,7 +4,6 @@
 import { EvacuationView } from '../common/serving/EvacuationView.js';
 import type { ColdSource } from '../common/serving/ServerColdState.js';
 import { ServerRecords } from '../common/serving/ServerRecords.js';
-import { ServiceVersions } from '../common/serving/ServiceVersions.js';
 import { StreamOrigins } from '../common/serving/StreamOrigins.js';
 import {
   ServerStatements,
@@ -56,8 +55,6 @@
 
   readonly evacuations: EvacuationView;
 
-  readonly serviceVersions: ServiceVersions;
-
   readonly streamOrigins: StreamOrigins;
 
   private readonly protocol: ServingProtocol;
@@ -75,12 +72,7 @@
     this.requestCrashes = new RequestCrashes(this.crashingRequests, () => services.announce?.());
     this.engineSpeeds = new EngineSpeeds(clock);
     this.evacuations = new EvacuationView(clock);
-    this.serviceVersions = new ServiceVersions(clock, services.streamLifetimeMs);
     this.streamOrigins = new StreamOrigins(clock, services.streamLifetimeMs);
-    this.serviceVersions.onChanged(() => {
-      if (!this.serviceVersions.hasSeveral) return;
-      logger.info('service has several versions', { versions: this.serviceVersions.several });
-    });
     const { limits, departures, pauses, cold } = this.statements;
     this.crashingParts.onFound(({ part, suspects, crashes }) =>
       logger.warn('prompt part crashes servers', { part, suspects, crashes }),
@@ -138,7 +130,6 @@
   /** Ends what is over. Called several times a second. */
   check(): void {
     this.statements.check();
-    this.serviceVersions.check();
   }
 
   /** The part of a heartbeat that peers {@link merge}. */
@@ -152,7 +143,7 @@
     | 'departures'
     | 'coldServers'
     | 'evacuations'
-    | 'streams'
+    | 'streamOrigins'
   > {
     return {
       engines: this.records.engineLoads(),
@@ -163,10 +154,7 @@
       departures: this.statements.departures.reports,
       coldServers: this.statements.cold?.reports ?? {},
       evacuations: this.evacuations.report,
-      streams: {
-        versions: this.serviceVersions.own,
-        begun: this.streamOrigins.ownGroups(ANNOUNCED_STREAM_AGE_MS, MAX_ANNOUNCED_STREAMS),
-      },
+      streamOrigins: this.streamOrigins.ownGroups(ANNOUNCED_STREAM_AGE_MS, MAX_ANNOUNCED_STREAMS),
     };
   }
 
@@ -180,7 +168,7 @@
     departures,
     coldServers,
     evacuations,
-    streams,
+    streamOrigins,
   }: Heartbeat): void {
     this.engineSpeeds.merge(id, engineSpeeds);
     this.crashingParts.merge(crashEvidence);
@@ -189,10 +177,7 @@
     this.statements.departures.merge(departures);
     this.statements.cold?.merge(coldServers);
     this.evacuations.merge(evacuations, id);
-    if (streams) {
-      this.serviceVersions.recordReport(streams.versions);
-      this.streamOrigins.learn(streams.begun);
-    } else this.serviceVersions.markIncomplete();
+    this.streamOrigins.learn(streamOrigins);
   }
 
   /** Discards what belongs to a server that was removed or has restarted. */
--- a/src/serving/StoreTables.ts
+++ b/src/serving/StoreTables.ts
@@ -73,7 +73,7 @@
     onStoreUnreachable: () => registrations.markStoreUnreachable(),
   });
   followers.follow(names.memberTable, HEARTBEAT_BACKED_WAITS, {
-    replaceAll: (rows, position) => membership.replaceRows(rows, position.era),
+    replaceAll: (rows) => membership.replaceRows(rows),
     apply: (rows) => membership.applyRows(rows),
   });
   followers.follow(names.crashCauseTable, HEARTBEAT_BACKED_WAITS, {
--- a/src/serving/StreamVersions.ts
+++ b/src/serving/StreamVersions.ts
@@ -1,5 +1,4 @@
 import type { ServerDirectory } from '../common/serving/ServerDirectory.js';
-import type { ServiceVersions } from '../common/serving/ServiceVersions.js';
 import type { BackendServer } from '../common/serving/ServingConfiguration.js';
 import type { StreamOrigin, StreamOrigins } from '../common/serving/StreamOrigins.js';
 import { isResumable, type CallerRequest } from './CallerRequest.js';
@@ -24,7 +23,6 @@
 export interface StreamVersionsServices {
   readonly directory: Pick<ServerDirectory, 'usable'>;
   readonly origins: StreamOrigins;
-  readonly versions: ServiceVersions;
   readonly table: Pick<StreamOriginTable, 'load'>;
   readonly metrics: Pick<ServingMetrics, 'recordRefusal'>;
 }
@@ -36,7 +34,8 @@
 
 /**
  * Lets a stream that a caller takes up go on only at the software version that began it: servers do not
- * check this, and what two versions write does not fit together.
+ * check this, and what two versions write does not fit together. The version comes from the record of
+ * the stream alone: which versions have servers now, or had them, does not show where it began.
  */
 export class StreamVersions {
   constructor(private readonly services: StreamVersionsServices) {}
@@ -56,7 +55,7 @@
    * @returns where the stream goes on, or why it cannot
    */
   async continuationOf(request: CallerRequest, target: string): Promise<Continuation> {
-    const origin = await this.originOf(request, target);
+    const origin = await this.originOf(request.attributes.resumedAttemptId);
     if (!origin) return this.refusal(target, 'unknown-version', 'version of the stream is unknown');
     const { service, version } = origin;
     const isTarget = request.route.targets.some((each) => each.service === service);
@@ -68,24 +67,13 @@
     return { service, pinned };
   }
 
-  private async originOf(
-    request: CallerRequest,
-    target: string,
-  ): Promise<StreamOrigin | undefined> {
-    const { table } = this.services;
-    const known = this.knownOrigin(request, target);
-    if (known || request.attributes.resumedAttemptId === undefined) return known;
+  private async originOf(attemptId: string | undefined): Promise<StreamOrigin | undefined> {
+    if (attemptId === undefined) return undefined;
+    const { origins, table } = this.services;
+    const known = origins.find(attemptId);
+    if (known) return known;
     await table.load();
-    return this.knownOrigin(request, target);
-  }
-
-  private knownOrigin(request: CallerRequest, target: string): StreamOrigin | undefined {
-    const { origins, versions } = this.services;
-    const { resumedAttemptId } = request.attributes;
-    const recorded = resumedAttemptId === undefined ? undefined : origins.find(resumedAttemptId);
-    if (recorded) return recorded;
-    const only = hasSeveralTargets(request) ? undefined : versions.only(target);
-    return only === undefined ? undefined : { service: target, version: only };
+    return origins.find(attemptId);
   }
 
   private refusal(
@@ -97,7 +85,3 @@
     return { service, refusal: { reason, retryAfterMs: RETRY_MS } };
   }
 }
-
-function hasSeveralTargets({ route }: Pick<CallerRequest, 'route'>): boolean {
-  return route.targets.length > 1;
-}
--- a/src/serving/createRequestRunner.ts
+++ b/src/serving/createRequestRunner.ts
@@ -48,7 +48,6 @@
     directory,
     metrics,
     origins: observations.streamOrigins,
-    versions: observations.serviceVersions,
     table: parts.streamTable,
   });
   const services = { ...parts, records, statements, selection, crashGuard, streamVersions };
--- a/src/serving/followServers.ts
+++ b/src/serving/followServers.ts
@@ -17,17 +17,15 @@
   connections: BackendConnections,
   logger: Logger,
 ): void {
-  const { statements, evacuations, serviceVersions } = observations;
+  const { statements, evacuations } = observations;
   directory.onRemoved((server) => {
     logger.info('backend server gone', { server: server.id, service: server.service });
     connections.disconnect(server);
     observations.forget(server);
-    serviceVersions.removeServer(server.id);
   });
   directory.onChanged((server) => {
     const { id, service, isDraining, address, version } = server;
     statements.recordRegistration(server);
-    serviceVersions.recordServer(server);
     logger.info('backend server registered', {
       server: id,
       service,
--- a/src/serving/peers/Membership.ts
+++ b/src/serving/peers/Membership.ts
@@ -20,12 +20,9 @@
 /** Time-out for copying the configuration or the registrations of a peer, in ms. */
 const PULL_TIMEOUT_MS = 1000;
 
-/** Bounds of a row; those of other writers may have any form. */
+/** Bounds of a row; those of other writers may have any form, and older versions write more. */
 const ROW_BOUNDS = { maxValues: 2000 };
 
-/** Time in which changes of the own row are collected, in ms: many servers register together. */
-const ROW_DELAY_MS = 50;
-
 /** Dependencies of {@link Membership}. */
 export interface MembershipServices {
   readonly clock: Clock;
@@ -55,24 +52,8 @@
 
   private readonly activePulls = new Set<string>();
 
-  /** Whether the rows of all processes were read. Those of earlier lives must be, before a write. */
-  private hasRead = false;
-
-  private resolveRead: () => void = () => undefined;
-
-  private readonly firstRead = new Promise<void>((resolve) => {
-    this.resolveRead = resolve;
-  });
-
-  /** Whether the row of this process should exist; undefined until that is decided. */
-  private isAnnounced: boolean | undefined;
-
-  private rowTimer: NodeJS.Timeout | undefined;
-
   constructor(private readonly services: MembershipServices) {
     this.ownRow = new OwnRow({ ...services, key: services.ownRow.id });
-    services.observations.serviceVersions.onChanged(() => this.scheduleRow());
-    services.storeEra.onRaised(() => this.scheduleRow());
   }
 
   /** Addresses of the other processes. */
@@ -80,25 +61,14 @@
     return [...this.members.values()];
   }
 
-  /**
-   * Replaces all members with those of the given rows, except the ones that are alive.
-   * @param rows - all rows of the table
-   * @param era - era of the store from which they were read
-   */
-  replaceRows(rows: readonly FeedRow[], era: number): void {
+  /** Replaces all members with those of the given rows, except the ones that are alive. */
+  replaceRows(rows: readonly FeedRow[]): void {
     const { peerView, ownRow } = this.services;
     [...this.members.keys()]
       .filter((id) => !peerView.isLive(id))
       .forEach((id) => this.members.delete(id));
     this.applyRows(rows);
-    if (!rows.some(({ key }) => key === ownRow.id)) this.compareOwnRow(undefined);
-    const areCurrent = rows.every(({ value }) => {
-      const member = value && MemberRow.safeParse(parseJson(value));
-      return !member?.success || member.data.era === era;
-    });
-    this.services.observations.serviceVersions.recordAllRead(areCurrent);
-    this.hasRead = true;
-    this.resolveRead();
+    if (!rows.some(({ key }) => key === ownRow.id)) this.ownRow.compareWith(undefined);
   }
 
   /** Applies changed member rows; one without a value was removed. */
@@ -107,8 +77,7 @@
     rows.forEach(({ key, value }) => {
       if (key === this.services.ownRow.id) {
         if (value) processShares.recordRow(key);
-        if (value && !this.hasRead) this.readEarlierLife(value);
-        this.compareOwnRow(value);
+        this.ownRow.compareWith(value);
         return;
       }
       this.members.delete(key);
@@ -117,29 +86,22 @@
       if (member.success) {
         this.members.set(key, member.data.address);
         processShares.recordRow(key);
-        const { versions } = member.data;
-        if (versions) this.services.observations.serviceVersions.recordReport(versions);
       } else this.services.logger.warn('invalid member row ignored', { member: key });
     });
   }
 
   /** Writes the row of this process, with retries until it succeeds or the process leaves. */
   async announce(): Promise<void> {
-    await this.firstRead;
-    if (this.isAnnounced === false) return;
-    this.isAnnounced = true;
-    await this.writeOwnRow();
+    await this.ownRow.announce(Buffer.from(JSON.stringify(this.services.ownRow)));
   }
 
   /** Stops writing the row of this process. */
   dispose(): void {
-    clearTimeout(this.rowTimer);
     this.ownRow.dispose();
   }
 
   /** Removes the row of this process. A failed write is not retried. */
   withdraw(): Promise<void> {
-    this.isAnnounced = false;
     return this.ownRow.withdraw();
   }
 
@@ -158,34 +120,6 @@
     if (registrations.shouldCopyFrom(heartbeat)) this.pullRegistrations(heartbeat);
   }
 
-  private compareOwnRow(value: Buffer | undefined): void {
-    if (this.isAnnounced !== undefined) this.ownRow.compareWith(value);
-  }
-
-  private scheduleRow(): void {
-    const { logger } = this.services;
-    this.rowTimer ??= setTimeout(() => {
-      this.rowTimer = undefined;
-      if (!this.isAnnounced) return;
-      this.writeOwnRow().catch((error: unknown) =>
-        logger.error('writing the member row failed', { error }),
-      );
-    }, ROW_DELAY_MS);
-  }
-
-  private writeOwnRow(): Promise<void> {
-    const { ownRow, observations, storeEra } = this.services;
-    const { own: versions } = observations.serviceVersions;
-    const row: MemberRow = { ...ownRow, versions, era: storeEra.current };
-    return this.ownRow.announce(Buffer.from(JSON.stringify(row)));
-  }
-
-  private readEarlierLife(value: Buffer): void {
-    const row = MemberRow.safeParse(parseJson(value));
-    const versions = row.success ? row.data.versions : undefined;
-    if (versions) this.services.observations.serviceVersions.recordEarlierLife(versions);
-  }
-
   private pullConfiguration({ id, address }: Heartbeat): void {
     const { peerClients, configuration } = this.services;
     this.pull('configuration', id, async (signal) => {
--- a/src/serving/peers/PeerMessages.ts
+++ b/src/serving/peers/PeerMessages.ts
@@ -12,7 +12,6 @@
 import { ServerDepartureReports } from '../../common/serving/ServerDepartures.js';
 import { ServerLimitReports } from '../../common/serving/ServerLimits.js';
 import { EngineSpeedReport } from '../../common/serving/EngineSpeeds.js';
-import { VersionReport } from '../../common/serving/ServiceVersions.js';
 import { StageLoad } from '../../common/serving/StageLoad.js';
 import { StorePosition } from '../../common/serving/StorePosition.js';
 import { StreamGroup } from '../../common/serving/StreamOrigins.js';
@@ -63,15 +62,8 @@
   coldServers: ColdServerReports.default({}),
   /** Evacuated failure domains; absent while unknown, and older versions send none. */
   evacuations: EvacuationReport.optional(),
-  /** Where streams of the sender began; older versions send none. */
-  streams: z
-    .object({
-      /** Versions at which streams that can still be taken up may have begun. */
-      versions: VersionReport,
-      /** The newest streams; older versions list some only if there are several versions. */
-      begun: z.array(StreamGroup),
-    })
-    .optional(),
+  /** Where the newest streams of the sender began; older versions send none. */
+  streamOrigins: z.array(StreamGroup).default([]),
 });
 export type Heartbeat = z.infer<typeof Heartbeat>;
 
@@ -79,10 +71,6 @@
 export const MemberRow = z.object({
   id: z.string(),
   address: EndpointAddress,
-  /** Versions at which its streams may have begun; older versions write none. */
-  versions: VersionReport.optional(),
-  /** Era of the store in which the row was written; older versions write none. */
-  era: z.number().optional(),
 });
 export type MemberRow = z.infer<typeof MemberRow>;
 
--- a/src/serving/peers/testing/fixtures.ts
+++ b/src/serving/peers/testing/fixtures.ts
@@ -23,6 +23,7 @@
     serverLimits: {},
     departures: {},
     coldServers: {},
+    streamOrigins: [],
     ...overrides,
   };
 }
