Crashing prompt parts: keep all parts of a crash

Cause: eight parts of a crash were kept, those whose last complete response was the oldest. New parts have none and are all equal, so the first ones of the prompt were kept, and the next request of the session cleared them.

All parts are kept now, long ids as digests. The size of heartbeats was what bounded them, so the evidence is sent in pages: parts of several crashes in each one, the others in turn. Parts that explain the same crashes share one entry and one row.

--- a/src/common/serving/CrashingParts.ts
+++ b/src/common/serving/CrashingParts.ts
@@ -1,30 +1,17 @@
-import { z } from 'zod';
 import { Emitter } from '../events/Emitter.js';
 import type { Clock } from '../time/Types.js';
+import {
+  evidencePage,
+  FIRST_POSITION,
+  type CrashEvidence,
+  type EvidencePage,
+} from './CrashEvidence.js';
+import { CRASH_LIFETIME_MS, CrashRecords, partKeyOf, type Crash } from './CrashRecords.js';
 import type { PromptPart } from './EnginePlacement.js';
 
-/** A server that ended while responses to requests with these prompt parts were beginning. */
-const CrashRecord = z.object({
-  /** Identifies the incarnation of the server. */
-  server: z.string(),
-  /** Time since the crash, in ms. */
-  ageMs: z.number().min(0),
-  /** Ids of the parts that may have caused it. */
-  parts: z.array(z.string()),
-});
-
-/** What a process knows about prompt parts that may crash servers; sent to its peers. */
-export const CrashEvidence = z.object({
-  crashes: z.array(CrashRecord),
-  /** Time since the last complete response, in ms, for the parts of the crashes. */
-  completed: z.record(z.string(), z.number().min(0)),
-  /** Time since the last complete response to any request, in ms; older versions send none. */
-  lastCompletionAgeMs: z.number().min(0).optional(),
-});
-export type CrashEvidence = z.infer<typeof CrashEvidence>;
-
-/** A prompt part that crashes servers. */
+/** Prompt parts of which one crashes servers. */
 export interface CrashingPart {
+  /** The first of {@link suspects}, which stands for all of them. */
   readonly part: string;
   /** Parts of which at least one crashes servers. Only requests that have all of them are refused. */
   readonly suspects: readonly string[];
@@ -34,14 +21,6 @@
   readonly endsAt: number;
 }
 
-interface Crash {
-  readonly server: string;
-  /** On the clock, in ms. */
-  readonly at: number;
-  /** Includes parts with which responses were completed later, for peers that don't know of these. */
-  readonly parts: Set<string>;
-}
-
 /** The crashes that a part explains, in order. */
 interface ExplainedCrashes {
   readonly all: readonly Crash[];
@@ -49,13 +28,11 @@
   readonly moments: readonly Crash[];
 }
 
-/** The last complete response to a request with a part. */
-interface Completion {
-  /** On the clock, in ms. */
-  readonly at: number;
-  /** Whether this process sent the request. Others are not passed on: their ages would drift. */
-  readonly isOwn: boolean;
-}
+/** Shortest time between two searches for the cause of simultaneous crashes, in ms. */
+const DECISION_INTERVAL_MS = 100;
+
+/** Maximum number of crashes that are read from one message. */
+const MAX_MERGED_CRASHES = 48;
 
 /** Number of crashes at different moments after which requests with a part are refused. */
 const MIN_CRASHES = 3;
@@ -79,24 +56,6 @@
  */
 const SETTLE_MS = 1000;
 
-/** Time for which a crash counts, in ms, and thus for which requests are refused. */
-const CRASH_LIFETIME_MS = 3_600_000;
-
-/** Time for which a crash that no part explains any longer is kept for the peers, in ms. */
-const CLEARED_CRASH_LIFETIME_MS = 10_000;
-
-/** Maximum number of crashes that are remembered; those that refuse no requests go first. */
-const MAX_CRASHES = 48;
-
-/** Maximum number of parts of one crash; the most recently completed ones are left out. */
-const MAX_PARTS_PER_CRASH = 8;
-
-/** Maximum number of parts whose last complete response is remembered. */
-const MAX_COMPLETED_PARTS = 4000;
-
-/** Maximum length of the id of a part, in characters; longer ones are ignored. */
-const MAX_PART_LENGTH = 64;
-
 /**
  * Finds prompt parts that crash every server that begins to respond to a request with them.
  *
@@ -109,13 +68,9 @@
  * one sees only the requests that it sent itself.
  */
 export class CrashingParts {
-  /** By server, in order of the crashes. */
-  private readonly crashes = new Map<string, Crash>();
+  private readonly records: CrashRecords;
 
-  /** By part id, in order of the updates. */
-  private readonly completions = new Map<string, Completion>();
-
-  private found = new Map<string, CrashingPart>();
+  private found: ReadonlyMap<string, CrashingPart> = new Map();
 
   /** Time of the last complete response to any request, also of peers, on the clock. */
   private lastCompletionAt = -Infinity;
@@ -126,6 +81,14 @@
   /** Whether further complete responses may show that a part caused simultaneous crashes. */
   private isUndecided = false;
 
+  /** On the clock, in ms. */
+  private updatedAt = -Infinity;
+
+  /** What the next message to the peers carries; undefined until it is chosen. */
+  private page: EvidencePage | undefined;
+
+  private position = FIRST_POSITION;
+
   private readonly foundEmitter = new Emitter<CrashingPart>();
 
   private readonly clearedEmitter = new Emitter<CrashingPart>();
@@ -137,17 +100,43 @@
   readonly onCleared = this.clearedEmitter.event;
 
   /** @param clock - time source */
-  constructor(private readonly clock: Clock) {}
+  constructor(private readonly clock: Clock) {
+    this.records = new CrashRecords(clock);
+  }
+
+  /** Number of parts of crashes that are remembered. */
+  get size(): number {
+    return this.records.partCount;
+  }
 
   /** The parts found, by id. */
   get parts(): ReadonlyMap<string, CrashingPart> {
     return this.found;
   }
 
-  /** Evidence to send to peers. */
+  /**
+   * Evidence to send to peers, as much of it as fits in a message; the rest follows after
+   * {@link recordSent}.
+   */
   get evidence(): CrashEvidence {
-    this.removeExpired();
-    return this.toEvidence([...this.crashes.values()], this.lastOwnCompletionAt);
+    if (this.records.removeExpired()) this.update();
+    const now = this.clock.now();
+    const crashes = this.reportedCrashes();
+    this.page ??= this.choosePage(crashes);
+    const { crashes: chosen, completed } = this.page;
+    return {
+      crashes: [...chosen].map(([index, parts]) => toRecord(crashes[index]!, [...parts], now)),
+      completed: Object.fromEntries(
+        completed.map((part) => [part, now - this.records.lastCompletion(part)]),
+      ),
+      ...ageOf(this.lastOwnCompletionAt, now),
+    };
+  }
+
+  /** Continues with the next part of the evidence. Called when it was sent to the peers. */
+  recordSent(): void {
+    if (this.page) this.position = this.page.next;
+    this.page = undefined;
   }
 
   /**
@@ -156,12 +145,15 @@
    *   to be sound
    */
   evidenceAgainst(part: string): CrashEvidence {
+    const now = this.clock.now();
     const explained = this.explainedCrashes().get(part);
-    const parts = new Set(this.found.get(part)?.suspects);
-    const crashes = explained
-      ? decisiveCrashes(explained).map((crash) => ({ ...crash, parts }))
-      : [];
-    return { ...this.toEvidence(crashes, this.lastCompletionAt), completed: {} };
+    const parts = this.found.get(part)?.suspects ?? [];
+    const crashes = explained ? decisiveCrashes(explained) : [];
+    return {
+      crashes: crashes.map((crash) => toRecord(crash, parts, now)),
+      completed: {},
+      ...ageOf(this.lastCompletionAt, now),
+    };
   }
 
   /**
@@ -170,9 +162,10 @@
    */
   findIn(partIds: readonly string[]): CrashingPart | undefined {
     if (this.found.size === 0) return undefined;
-    return partIds
-      .map((id) => this.found.get(id))
-      .find((part) => part?.suspects.every((suspect) => partIds.includes(suspect)));
+    const ids = new Set(partIds.map(partKeyOf));
+    // Parts that are suspected together share an entry.
+    const causes = new Set([...ids].map((id) => this.found.get(id)));
+    return [...causes].find((cause) => cause?.suspects.every((suspect) => ids.has(suspect)));
   }
 
   /**
@@ -181,7 +174,9 @@
    * @param partIds - ids of the shared parts of the request
    */
   recordCrash(server: string, partIds: readonly string[]): void {
-    this.addCrash(server, this.clock.now(), partIds);
+    this.records.addCrash(server, this.clock.now(), partIds.map(partKeyOf), true);
+    // The newest crash that this process saw is the first.
+    this.position = { ...this.position, crash: 0, part: 0 };
     this.update();
   }
 
@@ -191,10 +186,12 @@
    */
   recordCompletion(partIds: readonly string[]): void {
     const now = this.clock.now();
-    const cleared = partIds.filter((id) => this.setCompleted(id, { at: now, isOwn: true }));
+    const cleared = partIds
+      .map(partKeyOf)
+      .filter((part) => this.records.setCompleted(part, { at: now, isOwn: true }));
     this.lastCompletionAt = now;
     this.lastOwnCompletionAt = now;
-    if (cleared.length > 0 || this.isUndecided) this.update();
+    if (cleared.length > 0 || this.isDecisionDue) this.update();
   }
 
   /** Adds the evidence of a peer or of the store. */
@@ -202,82 +199,64 @@
     const now = this.clock.now();
     this.lastCompletionAt = Math.max(this.lastCompletionAt, now - lastCompletionAgeMs);
     const cleared = Object.entries(completed).filter(([id, ageMs]) =>
-      this.setCompleted(id, { at: now - ageMs, isOwn: false }),
+      this.records.setCompleted(partKeyOf(id), { at: now - ageMs, isOwn: false }),
     );
     const added = crashes
-      .slice(0, MAX_CRASHES)
-      .filter(({ server, ageMs, parts }) => this.addCrash(server, now - ageMs, parts));
-    if (cleared.length > 0 || added.length > 0 || this.isUndecided) this.update();
-  }
-
-  /** @returns whether the crash is new or has further parts */
-  private addCrash(server: string, at: number, partIds: readonly string[]): boolean {
-    if (at + CRASH_LIFETIME_MS <= this.clock.now()) return false;
-    const known = this.crashes.get(server);
-    const crash = known ?? { server, at, parts: new Set<string>() };
-    const added = partIds.filter((id) => isTrackable(id) && !crash.parts.has(id));
-    if (added.length === 0) return false;
-    added.forEach((id) => crash.parts.add(id));
-    [...crash.parts]
-      .sort((left, right) => this.lastCompletion(left) - this.lastCompletion(right))
-      .slice(MAX_PARTS_PER_CRASH)
-      .forEach((id) => crash.parts.delete(id));
-    this.crashes.set(server, crash);
-    return true;
-  }
-
-  /** @returns whether the part no longer explains a crash because of this response */
-  private setCompleted(id: string, completion: Completion): boolean {
-    const previousAt = this.lastCompletion(id);
-    if (!isTrackable(id) || completion.at <= previousAt) return false;
-    this.completions.delete(id);
-    this.completions.set(id, completion);
-    if (this.completions.size > MAX_COMPLETED_PARTS) {
-      this.completions.delete(this.completions.keys().next().value!);
-    }
-    return [...this.crashes.values()].some(
-      ({ parts, at }) => parts.has(id) && previousAt <= at && at < completion.at,
-    );
+      .slice(0, MAX_MERGED_CRASHES)
+      .filter(({ server, ageMs, parts }) =>
+        this.records.addCrash(server, now - ageMs, parts.map(partKeyOf), false),
+      );
+    if (cleared.length > 0 || added.length > 0 || this.isDecisionDue) this.update();
   }
 
-  private removeExpired(): void {
-    const now = this.clock.now();
-    const expired = [...this.crashes.values()].filter((crash) => {
-      const isCleared = this.suspectsOf(crash).length === 0;
-      return now - crash.at >= (isCleared ? CLEARED_CRASH_LIFETIME_MS : CRASH_LIFETIME_MS);
-    });
-    expired.forEach(({ server }) => this.crashes.delete(server));
-    if (expired.length > 0) this.update();
+  /** Whether to look again for the cause of simultaneous crashes. */
+  private get isDecisionDue(): boolean {
+    return this.isUndecided && this.clock.now() - this.updatedAt >= DECISION_INTERVAL_MS;
   }
 
   /** Determines the parts anew from the remaining evidence. */
   private update(): void {
+    this.updatedAt = this.clock.now();
     const explained = this.explainedCrashes();
-    const found = new Map(
-      [...explained]
-        .filter(([part, crashes]) => this.isCause(part, crashes))
-        .map(([part, crashes]) => [part, this.toCrashingPart(part, crashes)] as const),
-    );
-    const previous = this.found;
+    const found = this.findCauses(explained);
+    const previous = causesIn(this.found);
+    const current = causesIn(found);
     this.found = found;
+    this.page = undefined;
     this.isUndecided = [...explained].some(
       ([part, { all }]) => !found.has(part) && this.isSuspectOfGroup(part, all),
     );
-    this.limitCrashes(explained);
-    previous.forEach((part, id) => !found.has(id) && this.clearedEmitter.fire(part));
-    found.forEach((part, id) => {
+    this.records.limit(() => this.decisiveCrashes(explained));
+    previous.forEach((cause, id) => !current.has(id) && this.clearedEmitter.fire(cause));
+    current.forEach((cause, id) => {
       const known = previous.get(id);
-      if (known?.suspects.length !== part.suspects.length) this.foundEmitter.fire(part);
+      if (known?.suspects.length !== cause.suspects.length) this.foundEmitter.fire(cause);
     });
   }
 
+  /** @returns causes by part; parts that explain the same crashes share one */
+  private findCauses(
+    explained: ReadonlyMap<string, ExplainedCrashes>,
+  ): ReadonlyMap<string, CrashingPart> {
+    const causes = new Map<string, CrashingPart>();
+    const found = new Map<string, CrashingPart>();
+    explained.forEach((crashes, part) => {
+      if (!this.isCause(part, crashes)) return;
+      const key = JSON.stringify(crashes.all.map(({ server }) => server));
+      const cause = causes.get(key) ?? this.toCrashingPart(crashes);
+      causes.set(key, cause);
+      found.set(part, cause);
+    });
+    return found;
+  }
+
   /** @returns crashes that each part explains, by part id */
   private explainedCrashes(): Map<string, ExplainedCrashes> {
     const explained = new Map<string, { all: Crash[]; moments: Crash[] }>();
-    [...this.crashes.values()]
+    this.records.all
       .sort((left, right) => left.at - right.at)
       .forEach((crash) =>
-        this.suspectsOf(crash).forEach((part) => {
+        this.records.suspectsOf(crash).forEach((part) => {
           const crashes = explained.get(part) ?? { all: [], moments: [] };
           const lastMomentAt = crashes.moments.at(-1)?.at ?? -Infinity;
           if (crash.at - lastMomentAt >= MIN_CRASH_INTERVAL_MS) crashes.moments.push(crash);
@@ -297,64 +276,62 @@
 
   /** Whether requests with the part may have crashed several servers at the same moment. */
   private isSuspectOfGroup(part: string, crashes: readonly Crash[]): boolean {
-    return crashes.length >= MIN_SIMULTANEOUS_CRASHES && !this.completions.has(part);
-  }
-
-  /** @returns the parts whose last complete response is the oldest, if it precedes the crash */
-  private suspectsOf({ parts, at }: Crash): string[] {
-    const oldest = Math.min(...[...parts].map((id) => this.lastCompletion(id)));
-    return [...parts].filter((id) => this.lastCompletion(id) === oldest && oldest <= at);
+    return crashes.length >= MIN_SIMULTANEOUS_CRASHES && !this.records.hasCompleted(part);
   }
 
-  private toCrashingPart(part: string, explained: ExplainedCrashes): CrashingPart {
+  private toCrashingPart(explained: ExplainedCrashes): CrashingPart {
     const { all, moments } = explained;
     const crashes = moments.length >= MIN_CRASHES ? moments : all;
+    const suspects = commonSuspects(crashes.map((crash) => this.records.suspectsOf(crash)));
     return {
-      part,
-      suspects: commonSuspects(crashes.map((crash) => this.suspectsOf(crash))),
+      part: suspects[0]!,
+      suspects,
       crashes: crashes.length,
       endsAt: decisiveCrashes(explained)[0]!.at + CRASH_LIFETIME_MS,
     };
   }
 
-  private limitCrashes(explained: ReadonlyMap<string, ExplainedCrashes>): void {
-    const excess = this.crashes.size - MAX_CRASHES;
-    if (excess <= 0) return;
-    const needed = new Set(
+  /** @returns the crashes because of which requests are refused */
+  private decisiveCrashes(explained: ReadonlyMap<string, ExplainedCrashes>): ReadonlySet<Crash> {
+    return new Set(
       [...this.found.keys()].flatMap((part) => {
         const crashes = explained.get(part);
         return crashes ? decisiveCrashes(crashes) : [];
       }),
     );
-    [...this.crashes.values()]
-      .sort((left, right) => left.at - right.at)
-      .sort((left, right) => Number(needed.has(left)) - Number(needed.has(right)))
-      .slice(0, excess)
-      .forEach(({ server }) => this.crashes.delete(server));
   }
 
-  private lastCompletion(part: string): number {
-    return this.completions.get(part)?.at ?? -Infinity;
+  /** Crashes in the order in which they are sent: peers repeat what others saw. */
+  private reportedCrashes(): Crash[] {
+    return this.records.all
+      .sort((left, right) => right.at - left.at)
+      .sort((left, right) => Number(right.isOwn) - Number(left.isOwn));
   }
 
-  private toEvidence(crashes: readonly Crash[], lastCompletionAt: number): CrashEvidence {
-    const now = this.clock.now();
-    const parts = new Set(crashes.flatMap((crash) => [...crash.parts]));
-    const completed = [...parts]
-      .filter((id) => this.completions.get(id)?.isOwn)
-      .map((id) => [id, now - this.lastCompletion(id)] as const);
-    return {
-      crashes: crashes.map(({ server, at, parts: ids }) => ({
-        server,
-        ageMs: now - at,
-        parts: [...ids],
-      })),
-      completed: Object.fromEntries(completed),
-      ...(lastCompletionAt > -Infinity && { lastCompletionAgeMs: now - lastCompletionAt }),
-    };
+  private choosePage(crashes: readonly Crash[]): EvidencePage {
+    // Parts with a later response are cleared for the peers by its age.
+    const reported = crashes.map((crash) => {
+      const parts = this.records.unclearedParts(crash);
+      return { server: crash.server, parts, common: this.records.commonParts(parts) };
+    });
+    return evidencePage(reported, this.records.ownCompletions, this.position);
   }
 }
 
+function toRecord({ server, at }: Crash, parts: readonly string[], now: number) {
+  return { server, ageMs: now - at, parts: [...parts] };
+}
+
+/** @returns the age of the last complete response, if there is one */
+function ageOf(at: number, now: number): Pick<CrashEvidence, 'lastCompletionAgeMs'> {
+  return at > -Infinity ? { lastCompletionAgeMs: now - at } : {};
+}
+
+/** @returns causes by the part that stands for each one */
+function causesIn(found: ReadonlyMap<string, CrashingPart>): ReadonlyMap<string, CrashingPart> {
+  return new Map([...found.values()].map((cause) => [cause.part, cause]));
+}
+
 /**
  * @param parts - parts of a prompt, in order
  * @returns ids of the parts that other requests may share: all but the last
@@ -366,7 +343,8 @@
 /** @returns the parts that are in all lists */
 function commonSuspects(lists: readonly (readonly string[])[]): string[] {
   const [first = [], ...others] = lists;
-  return first.filter((id) => others.every((list) => list.includes(id)));
+  const sets = others.map((list) => new Set(list));
+  return first.filter((id) => sets.every((set) => set.has(id)));
 }
 
 /** @returns the latest crashes that suffice to refuse requests with the part that explains them */
@@ -375,7 +353,3 @@
     ? moments.slice(-MIN_CRASHES)
     : all.slice(-MIN_SIMULTANEOUS_CRASHES);
 }
-
-function isTrackable(partId: string): boolean {
-  return partId.length > 0 && partId.length <= MAX_PART_LENGTH;
-}
--- a/src/serving/ServerObservations.ts
+++ b/src/serving/ServerObservations.ts
@@ -29,6 +29,9 @@
 const ANNOUNCED_STREAM_AGE_MS = 2000;
 const MAX_ANNOUNCED_STREAMS = 200;
 
+/** Most parts of prompts in a log line. */
+const MAX_LOGGED_SUSPECTS = 16;
+
 /** Dependencies of {@link ServerObservations}. */
 export interface ServerObservationsServices extends ServerStatementsServices {
   readonly logger: Logger;
@@ -75,7 +78,12 @@
     this.streamOrigins = new StreamOrigins(clock, services.streamLifetimeMs);
     const { limits, departures, pauses, cold } = this.statements;
     this.crashingParts.onFound(({ part, suspects, crashes }) =>
-      logger.warn('prompt part crashes servers', { part, suspects, crashes }),
+      logger.warn('prompt part crashes servers', {
+        part,
+        suspects: suspects.slice(0, MAX_LOGGED_SUSPECTS),
+        suspectCount: suspects.length,
+        crashes,
+      }),
     );
     this.crashingParts.onCleared(({ part }) => logger.info('prompt part cleared', { part }));
     this.crashingRequests.onFound(({ request, crashes }) =>
@@ -158,6 +166,11 @@
     };
   }
 
+  /** Continues with what the previous heartbeat had no room for. */
+  recordHeartbeatSent(): void {
+    this.crashingParts.recordSent();
+  }
+
   /** Adds what a peer has observed. */
   merge({
     id,
--- a/src/serving/ServingProcess.ts
+++ b/src/serving/ServingProcess.ts
@@ -273,6 +273,7 @@
       metrics,
       logger,
       heartbeat: () => this.createHeartbeat(),
+      onHeartbeatSent: () => this.observations.recordHeartbeatSent(),
       peerAddresses: () => this.membership.addresses,
       onHeartbeat: (heartbeat) => this.membership.handleHeartbeat(heartbeat),
     });
--- a/src/serving/StoredCrashingParts.ts
+++ b/src/serving/StoredCrashingParts.ts
@@ -11,7 +11,8 @@
       server: z.string(),
       /** Unix time, in ms. */
       at: z.number(),
-      parts: z.array(z.string()),
+      /** Older versions write them; they are the suspects. */
+      parts: z.array(z.string()).optional(),
     }),
   ),
   /** Unix time of the last complete response to any request, in ms; older versions write none. */
@@ -36,7 +37,7 @@
       const { crashes, lastCompletionAgeMs } = crashingParts.evidenceAgainst(part);
       return {
         suspects: [...(crashingParts.parts.get(part)?.suspects ?? [])],
-        crashes: crashes.map(({ server, ageMs, parts }) => ({ server, at: now - ageMs, parts })),
+        crashes: crashes.map(({ server, ageMs }) => ({ server, at: now - ageMs })),
         ...(lastCompletionAgeMs !== undefined && { lastCompletionAt: now - lastCompletionAgeMs }),
       };
     },
@@ -48,7 +49,11 @@
       const ageMs = (at: number) => Math.max(0, now - at);
       const { suspects, crashes, lastCompletionAt } = row.data;
       crashingParts.merge({
-        crashes: crashes.map(({ server, at, parts }) => ({ server, parts, ageMs: ageMs(at) })),
+        crashes: crashes.map(({ server, at, parts = suspects }) => ({
+          server,
+          parts,
+          ageMs: ageMs(at),
+        })),
         completed: {},
         ...(lastCompletionAt !== undefined && { lastCompletionAgeMs: ageMs(lastCompletionAt) }),
       });
--- a/src/serving/peers/PeerMessages.ts
+++ b/src/serving/peers/PeerMessages.ts
@@ -6,7 +6,7 @@
   ConfigurationState,
 } from '../../common/serving/ConfigurationState.js';
 import { ColdServerReports } from '../../common/serving/ColdServers.js';
-import { CrashEvidence } from '../../common/serving/CrashingParts.js';
+import { CrashEvidence } from '../../common/serving/CrashEvidence.js';
 import { RequestCrashEvidence } from '../../common/serving/RequestCrashEvidence.js';
 import { EvacuationReport } from '../../common/serving/EvacuationView.js';
 import { ServerDepartureReports } from '../../common/serving/ServerDepartures.js';
--- a/src/serving/peers/PeerServer.test.ts
+++ b/src/serving/peers/PeerServer.test.ts
@@ -14,6 +14,7 @@
       heartbeats += 1;
       return createHeartbeat('own');
     },
+    onHeartbeatSent: () => undefined,
     peerAddresses: () => [],
   };
   const server = new PeerServer(options as PeerServerOptions);
--- a/src/serving/peers/PeerServer.ts
+++ b/src/serving/peers/PeerServer.ts
@@ -43,6 +43,8 @@
   readonly logger: Logger;
   /** @returns heartbeat to send */
   readonly heartbeat: () => Heartbeat;
+  /** Called when it was sent. */
+  readonly onHeartbeatSent: () => void;
   /** @returns addresses of the peers that it is sent to */
   readonly peerAddresses: () => readonly string[];
   /** Called with each valid heartbeat of a peer. */
@@ -112,6 +114,7 @@
         // Send errors are ignored: datagrams may be lost anyway, and the next one follows shortly.
       });
     });
+    this.options.onHeartbeatSent();
   }
 
   /** Sends a heartbeat soon, without waiting for the interval, unless many were sent so lately. */
