Stages: refuse requests for more pieces than can be made in their time

300 requests of some hundred bytes, each for 100,000 pieces of one stage, ended one process after the other by memory.

Cause: the queue made an entry for each piece before anything decided whether the task could end in time, and the admission assumed a single call for each stage, however many pieces it has.

The times of a stage now count the calls that must follow each other at all of its servers, so that a request that cannot end in time is refused before anything runs; the batching process checks it again before it makes entries, since stages come from peers too.

--- a/src/common/serving/StageQueue.ts
+++ b/src/common/serving/StageQueue.ts
@@ -2,6 +2,7 @@
 import { selectCall } from './CallSelection.js';
 import { CallPacer } from './CallPacer.js';
 import { PieceTimeEstimator } from './PieceTimeEstimator.js';
+import { MAX_HELD_PIECES, successiveCalls, tasksInTheWay } from './StageBounds.js';
 import { freeTimesByDomain, type StageServerState } from './StageServerState.js';
 import { StageServers } from './StageServers.js';
 import { byUrgency, isOnTime, type TaskTimes } from './TaskOrder.js';
@@ -51,6 +52,9 @@
 
   private waitingPieces = 0;
 
+  /** Pieces of all tasks. */
+  private heldPieces = 0;
+
   /** Whether pieces have been waiting ever since the last start of a call. */
   private isBacklogged = false;
 
@@ -95,6 +99,23 @@
     this.servers.update(usable);
   }
 
+  /** Whether the servers could make the pieces of a task before it expires if they ran nothing else. */
+  canEnd({ pieces, expiresAt }: StageTask): boolean {
+    const calls = successiveCalls(pieces, this.servers.all().length, this.capacity);
+    return this.clock.now() + calls * this.capacity.callMs <= expiresAt;
+  }
+
+  /**
+   * Ends larger tasks if the pieces of another one would exceed the bound.
+   * @param pieces - number of its pieces
+   * @returns tasks that ended; undefined if there is no room for it
+   */
+  makeRoom(pieces: number): EndedTask[] | undefined {
+    if (this.heldPieces + pieces <= MAX_HELD_PIECES) return [];
+    const ended = tasksInTheWay(this.tasks.values(), pieces);
+    return ended?.map(({ taskId }) => this.endTask(taskId, { kind: 'failed' }));
+  }
+
   /**
    * Adds a task. The queue assigns the id, because tasks come from several processes: if they chose
    * the ids, two tasks could have the same one and get each other's results.
@@ -113,6 +134,7 @@
       failures: 0,
     };
     this.tasks.set(taskId, queued);
+    this.heldPieces += task.pieces;
     this.loadMeter.recordArrival(task.priority, task.pieces);
     for (let piece = 0; piece < task.pieces; piece += 1) this.unassign(queued, piece);
     return taskId;
@@ -367,8 +389,9 @@
     this.waitingTasks.set(queued.taskId, queued);
   }
 
-  private removeTask({ taskId, unassignedPieces }: QueuedTask): void {
+  private removeTask({ taskId, task, unassignedPieces }: QueuedTask): void {
     this.tasks.delete(taskId);
+    this.heldPieces -= task.pieces;
     this.waitingTasks.delete(taskId);
     this.waitingPieces -= unassignedPieces.size;
     if (this.waitingPieces === 0) this.isBacklogged = false;
--- a/src/serving/StageBatcher.ts
+++ b/src/serving/StageBatcher.ts
@@ -223,6 +223,16 @@
       onEnd({ kind: 'failed' });
       return;
     }
+    if (!queue.canEnd(task)) {
+      onEnd({ kind: 'expired' });
+      return;
+    }
+    const ended = queue.makeRoom(task.pieces);
+    if (!ended) {
+      onEnd({ kind: 'failed' });
+      return;
+    }
+    this.notifyListeners(service, ended);
     this.services.retryBudgets.of(service).recordRequest();
     const preferredDomain = this.inputDomainOf(task) ?? task.preferredDomain;
     const taskId = queue.add({
--- a/src/serving/StageRunner.ts
+++ b/src/serving/StageRunner.ts
@@ -2,7 +2,9 @@
 import { Cancellation } from '../common/events/Cancellation.js';
 import type { Clock } from '../common/time/Types.js';
 import type { RouteTable } from '../common/serving/RouteTable.js';
+import type { ServerDirectory } from '../common/serving/ServerDirectory.js';
 import type { StageCapacity } from '../common/serving/ServingConfiguration.js';
+import { successiveCalls } from '../common/serving/StageBounds.js';
 import { StageGraph, type ReadyStage } from '../common/serving/StageGraph.js';
 import type { TaskOutcome } from '../common/serving/Types.js';
 import type { CallerRequest } from './CallerRequest.js';
@@ -51,6 +53,7 @@
   readonly stageClient: StageClient;
   readonly metrics: ServingMetrics;
   readonly routeTable: () => RouteTable | undefined;
+  readonly directory: Pick<ServerDirectory, 'usable'>;
 }
 
 /** Runs the stages of requests: each stage starts once all stages it depends on have completed. */
@@ -129,7 +132,9 @@
       const pieces = request.attributes.pieceCounts[index] ?? 0;
       const start = Math.max(0, ...stage.dependsOn.map((source) => ends[source] ?? 0));
       const capacity = this.services.routeTable()?.service(stage.service)?.stage;
-      ends.push(start + (capacity && pieces > 0 ? ofCall(capacity) : 0));
+      const servers = this.services.directory.usable(stage.service).length;
+      const stageMs = capacity ? successiveCalls(pieces, servers, capacity) * ofCall(capacity) : 0;
+      ends.push(start + stageMs);
     });
     return Math.max(0, ...ends);
   }
--- a/src/serving/createRequestRunner.ts
+++ b/src/serving/createRequestRunner.ts
@@ -54,7 +54,7 @@
   return new RequestRunner({
     ...services,
     placement,
-    stageRunner: new StageRunner({ clock, stageClient, metrics, routeTable }),
+    stageRunner: new StageRunner({ clock, stageClient, metrics, routeTable, directory }),
     hedging: createHedging(services),
   });
 }
