Prompt parts: ids that keep no heads in memory

Ordinary requests whose prompts have many parts exhausted the memory of each process after some 8,000 requests.

Cause: ids of 13 and more characters that were cut out of a header refer to the whole header in V8, and ids are remembered for up to 4,000 parts of each engine. An id may also be as long as a head.

Ids are copied where requests are read, and those of more than 24 characters replaced by a digest.

--- a/src/common/serving/CrashRecords.ts
+++ b/src/common/serving/CrashRecords.ts
@@ -1,4 +1,3 @@
-import { sha256 } from '../Digest.js';
 import type { Clock } from '../time/Types.js';
 
 /** A server that ended while responses to requests with some prompt parts were beginning. */
@@ -42,12 +41,9 @@
 /** Maximum number of parts whose last complete response is remembered. */
 const MAX_COMPLETED_PARTS = 16_384;
 
-/** Length up to which ids of parts are kept as they are, in characters; longer ones as a digest. */
-const MAX_KEY_LENGTH = 24;
-
 /**
- * Bounded memory of crashes and of the last complete response with each prompt part. Parts have keys:
- * see {@link partKeyOf}.
+ * Bounded memory of crashes and of the last complete response with each prompt part. The ids of parts
+ * must be of bounded length.
  */
 export class CrashRecords {
   /** By server, in order of the crashes. */
@@ -184,8 +180,3 @@
     });
   }
 }
-
-/** @returns key of the part with the id, of bounded length; that of a key is the key itself */
-export function partKeyOf(id: string): string {
-  return id.length <= MAX_KEY_LENGTH ? id : sha256(id).slice(0, MAX_KEY_LENGTH);
-}
--- a/src/common/serving/CrashingParts.ts
+++ b/src/common/serving/CrashingParts.ts
@@ -6,8 +6,9 @@
   type CrashEvidence,
   type EvidencePage,
 } from './CrashEvidence.js';
-import { CRASH_LIFETIME_MS, CrashRecords, partKeyOf, type Crash } from './CrashRecords.js';
+import { CRASH_LIFETIME_MS, CrashRecords, type Crash } from './CrashRecords.js';
 import type { PromptPart } from './EnginePlacement.js';
+import { partIdOf } from './PromptParts.js';
 
 /** Prompt parts of which one crashes servers. */
 export interface CrashingPart {
@@ -162,7 +163,7 @@
    */
   findIn(partIds: readonly string[]): CrashingPart | undefined {
     if (this.found.size === 0) return undefined;
-    const ids = new Set(partIds.map(partKeyOf));
+    const ids = new Set(partIds.map(partIdOf));
     // Parts that are suspected together share an entry.
     const causes = new Set([...ids].map((id) => this.found.get(id)));
     return [...causes].find((cause) => cause?.suspects.every((suspect) => ids.has(suspect)));
@@ -174,7 +175,7 @@
    * @param partIds - ids of the shared parts of the request
    */
   recordCrash(server: string, partIds: readonly string[]): void {
-    this.records.addCrash(server, this.clock.now(), partIds.map(partKeyOf), true);
+    this.records.addCrash(server, this.clock.now(), partIds.map(partIdOf), true);
     // The newest crash that this process saw is the first.
     this.position = { ...this.position, crash: 0, part: 0 };
     this.update();
@@ -187,7 +188,7 @@
   recordCompletion(partIds: readonly string[]): void {
     const now = this.clock.now();
     const cleared = partIds
-      .map(partKeyOf)
+      .map(partIdOf)
       .filter((part) => this.records.setCompleted(part, { at: now, isOwn: true }));
     this.lastCompletionAt = now;
     this.lastOwnCompletionAt = now;
@@ -199,12 +200,12 @@
     const now = this.clock.now();
     this.lastCompletionAt = Math.max(this.lastCompletionAt, now - lastCompletionAgeMs);
     const cleared = Object.entries(completed).filter(([id, ageMs]) =>
-      this.records.setCompleted(partKeyOf(id), { at: now - ageMs, isOwn: false }),
+      this.records.setCompleted(partIdOf(id), { at: now - ageMs, isOwn: false }),
     );
     const added = crashes
       .slice(0, MAX_MERGED_CRASHES)
       .filter(({ server, ageMs, parts }) =>
-        this.records.addCrash(server, now - ageMs, parts.map(partKeyOf), false),
+        this.records.addCrash(server, now - ageMs, parts.map(partIdOf), false),
       );
     if (cleared.length > 0 || added.length > 0 || this.isDecisionDue) this.update();
   }
