Streams: compare event ids of any size

Of a stream whose event ids are above 2^53 callers got one event, in an answer that looked complete.

Cause: events that an earlier run has brought are left out, and ids were compared as floating-point numbers, in which neighbours of this size are equal. Decimal ids are now compared by their digits.

--- a/src/serving/StreamForwarder.ts
+++ b/src/serving/StreamForwarder.ts
@@ -1,5 +1,6 @@
 import { ByteCollector } from '../common/ByteCollector.js';
 import type { Disposable } from '../common/events/Types.js';
+import { isLaterEvent } from '../common/response/EventIds.js';
 import { EventParser } from '../common/response/EventParser.js';
 import type { ResponseBuffer } from '../common/response/ResponseBuffer.js';
 import type { BackendServer } from '../common/serving/ServingConfiguration.js';
@@ -273,7 +274,7 @@
   /** Whether the caller already received the event from an earlier run. */
   private isDuplicate(id: string | undefined): boolean {
     if (this.lastEventId === undefined || id === undefined) return false;
-    return Number(id) <= Number(this.lastEventId);
+    return !isLaterEvent(id, this.lastEventId);
   }
 
   private failureOutcome(): ForwardOutcome {
