Servers: the end of a request counts where it was counted

A server that restarted under its id while requests ran there counted as idle for the life of a process and got more than its share.

Cause: its record is discarded at the restart, and the requests that it lost were subtracted from the new one. The end of a request now counts at the record to which it was added.

--- a/src/common/serving/EngineSpeeds.test.ts
+++ b/src/common/serving/EngineSpeeds.test.ts
@@ -78,10 +78,10 @@
       const prefillMs = tokens / (TOKENS_PER_MS * speeds[index]!);
       freeAt[index] = Math.max(now, freeAt[index]!) + prefillMs;
       const endsAt = freeAt[index] + FIXED_MS;
-      records.begin(engine.id, tokens);
+      const outstanding = records.begin(engine.id, tokens);
       const finish = () => {
-        records.markPrefilled(engine.id, tokens);
-        records.end(engine.id);
+        outstanding.markPrefilled();
+        outstanding.end();
         learned.recordFirstEvent(engine, ahead + tokens, endsAt - now);
         if (now > 10_000) times.push(endsAt - now);
       };
--- a/src/common/serving/ServerRecords.ts
+++ b/src/common/serving/ServerRecords.ts
@@ -34,6 +34,14 @@
  */
 export type RequestSignal = 'succeeded' | 'failed' | 'unreachable' | 'full';
 
+/** A request that is on a server. It belongs to the server as it was when the request was sent. */
+export interface OutstandingRequest {
+  /** Called once when its prefill has ended. */
+  markPrefilled(): void;
+  /** Called once when it has ended. */
+  end(): void;
+}
+
 /**
  * Outstanding work and failures of backend servers, as observed by this process.
  *
@@ -49,25 +57,20 @@
    * Records that a request is sent to the server.
    * @param serverId - id of the server
    * @param tokens - prompt tokens that the server has to prefill; 0 for other services
+   * @returns the request, whose end counts for nothing once the server was forgotten
    */
-  begin(serverId: string, tokens: number): void {
+  begin(serverId: string, tokens: number): OutstandingRequest {
     const record = this.recordOf(serverId);
     record.running += 1;
     record.pendingTokens += tokens;
-  }
-
-  /**
-   * Records that the prefill of a request ended.
-   * @param serverId - id of the server
-   * @param tokens - the tokens given to {@link begin}
-   */
-  markPrefilled(serverId: string, tokens: number): void {
-    this.recordOf(serverId).pendingTokens -= tokens;
-  }
-
-  /** Records that a request on the server ended. */
-  end(serverId: string): void {
-    this.recordOf(serverId).running -= 1;
+    return {
+      markPrefilled: () => {
+        record.pendingTokens -= tokens;
+      },
+      end: () => {
+        record.running -= 1;
+      },
+    };
   }
 
   /** Updates the health of a server after a request. */
--- a/src/serving/RequestRunner.ts
+++ b/src/serving/RequestRunner.ts
@@ -281,8 +281,8 @@
     const { tokens: reportedTokens } = this.services.peerView.engineLoad(server.id);
     const recordFirstEvent = placement.measureFirstEvent(server, tokens, reportedTokens);
     if (promptParts.length > 0) placement.recordParts(server.id, promptParts);
-    records.begin(server.id, tokens);
-    const markPrefilled = once(() => records.markPrefilled(server.id, tokens));
+    const outstanding = records.begin(server.id, tokens);
+    const markPrefilled = once(() => outstanding.markPrefilled());
     const options: ForwardOptions = {
       ...this.forwardOptions(request, server, progress, results),
       onHead: () => responseProgress.recordHead(),
@@ -306,7 +306,7 @@
       this.services.crashGuard.recordOutcome(request, server, outcome, responseProgress);
     } finally {
       markPrefilled();
-      records.end(server.id);
+      outstanding.end();
     }
     progress.recordOutcome(outcome, server);
     metrics.recordForward(service, outcome.kind);
