--- a/src/common/serving/StageBounds.ts
+++ b/src/common/serving/StageBounds.ts
@@ -23,13 +23,13 @@
 }
 
 /**
- * Chooses tasks that have to end to make room for another one: those with the most pieces, and only
- * ones that have more than it, so that requests of the usual size are served beside huge ones.
+ * Chooses the tasks that are evicted for another one: those with the most pieces, and only ones that
+ * have more than it, so that requests of the usual size are served beside huge ones.
  * @param tasks - tasks of the queue
  * @param pieces - number of pieces of the other one
- * @returns tasks to end; undefined if there is no room for it even so
+ * @returns tasks to evict; undefined if there is no room for it even so
  */
-export function tasksInTheWay(
+export function tasksToEvict(
   tasks: Iterable<QueuedTask>,
   pieces: number,
 ): readonly QueuedTask[] | undefined {
@@ -38,10 +38,10 @@
   const larger = all
     .filter(({ task }) => task.pieces > pieces)
     .sort((left, right) => right.task.pieces - left.task.pieces);
-  const ended = larger.filter(({ task }) => {
+  const evicted = larger.filter(({ task }) => {
     if (excess <= 0) return false;
     excess -= task.pieces;
     return true;
   });
-  return excess <= 0 ? ended : undefined;
+  return excess <= 0 ? evicted : undefined;
 }
--- a/src/common/serving/StageQueue.ts
+++ b/src/common/serving/StageQueue.ts
@@ -2,7 +2,7 @@
 import { selectCall } from './CallSelection.js';
 import { CallPacer } from './CallPacer.js';
 import { PieceTimeEstimator } from './PieceTimeEstimator.js';
-import { MAX_HELD_PIECES, successiveCalls, tasksInTheWay } from './StageBounds.js';
+import { MAX_HELD_PIECES, successiveCalls, tasksToEvict } from './StageBounds.js';
 import { freeTimesByDomain, type StageServerState } from './StageServerState.js';
 import { StageServers } from './StageServers.js';
 import { byUrgency, isOnTime, type TaskTimes } from './TaskOrder.js';
@@ -106,14 +106,14 @@
   }
 
   /**
-   * Ends larger tasks if the pieces of another one would exceed the bound.
+   * Evicts larger tasks if the pieces of another one would exceed the bound.
    * @param pieces - number of its pieces
    * @returns tasks that ended; undefined if there is no room for it
    */
   makeRoom(pieces: number): EndedTask[] | undefined {
     if (this.heldPieces + pieces <= MAX_HELD_PIECES) return [];
-    const ended = tasksInTheWay(this.tasks.values(), pieces);
-    return ended?.map(({ taskId }) => this.endTask(taskId, { kind: 'failed' }));
+    const evicted = tasksToEvict(this.tasks.values(), pieces);
+    return evicted?.map(({ taskId }) => this.endTask(taskId, { kind: 'failed' }));
   }
 
   /**
--- a/src/common/serving/StreamOrigins.test.ts
+++ b/src/common/serving/StreamOrigins.test.ts
@@ -111,7 +111,7 @@
       begin(`${now}`);
     }
     takeAll(records);
-    records.addAllAgain();
+    records.markAllDue();
     const ids = takeAll(records).flatMap(({ streams }) => streams[0]!.attemptIds);
     assert.ok(!ids.includes('ended'));
     assert.ok(ids.includes(`${LIFETIME_MS}`) && ids.includes('4000'));
--- a/src/common/serving/StreamRecords.ts
+++ b/src/common/serving/StreamRecords.ts
@@ -70,7 +70,7 @@
   }
 
   /** Makes all rows due, after the store has lost some. */
-  addAllAgain(): void {
+  markAllDue(): void {
     this.batches.forEach((batch) => Object.assign(batch, { isDue: true }));
   }
 
--- a/src/common/serving/testing/StreamFleet.ts
+++ b/src/common/serving/testing/StreamFleet.ts
@@ -218,7 +218,7 @@
 
   private restoreStore(): void {
     this.rows = new Map(this.copy);
-    this.processes.forEach(({ records }) => records.addAllAgain());
+    this.processes.forEach(({ records }) => records.markAllDue());
   }
 
   private announce(sender: Process, running: readonly Process[]): void {
--- a/src/serving/StreamOriginTable.ts
+++ b/src/serving/StreamOriginTable.ts
@@ -82,7 +82,7 @@
 
   /** Writes all streams that can still be taken up again, after the store has lost rows. */
   rewrite(): void {
-    this.records.addAllAgain();
+    this.records.markAllDue();
     if (this.records.isDue) this.scheduleWrite(WRITE_DELAY_MS);
   }
 
